--- a/src/main/java/pipitladder/benchlink/SettingsReader.java
+++ b/src/main/java/pipitladder/benchlink/SettingsReader.java
@@ -14,7 +14,7 @@
 import pipitladder.Dispatcher.Tenant;
 
 /** Translates the wire's settings object; what it leaves out gets the value that asks for the most care. */
-final class SettingsReader {
+public final class SettingsReader {
 
     private final Map<String, Object> env;
 
@@ -22,7 +22,7 @@
         this.env = env;
     }
 
-    static Settings read(Map<String, Object> env) throws MalformedInputException {
+    public static Settings read(Map<String, Object> env) throws MalformedInputException {
         return new SettingsReader(env).settings();
     }
 
--- /dev/null
+++ b/src/main/java/ryemast/Main.java
@@ -0,0 +1,42 @@
+package ryemast;
+
+import pipitladder.benchlink.BenchLinkCommand;
+import ryemast.config.Config;
+import ryemast.config.ConfigException;
+
+/** The command line: {@code serve} is the real dispatcher, {@code benchlink} the simulator's adapter. */
+public final class Main {
+
+    private static final int FAILED = 1;
+    private static final int USAGE = 2;
+
+    private Main() {
+    }
+
+    public static void main(String[] args) {
+        if (args.length == 1 && args[0].equals("benchlink")) {
+            int code = BenchLinkCommand.run();
+            if (code != 0) {
+                System.exit(code);
+            }
+        } else if (args.length == 1 && args[0].equals("serve")) {
+            serve();
+        } else {
+            System.err.println("usage: java -jar ryemast.jar serve|benchlink");
+            System.exit(USAGE);
+        }
+    }
+
+    private static void serve() {
+        Logs.setUp();
+        try {
+            new Service(Config.read(System.getenv())).start();
+        } catch (ConfigException e) {
+            System.err.println("ryemast: " + e.getMessage());
+            System.exit(USAGE);
+        } catch (Exception e) {
+            System.err.println("ryemast: cannot start: " + e);
+            System.exit(FAILED);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ryemast/config/Config.java
@@ -0,0 +1,200 @@
+package ryemast.config;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import pipitladder.Dispatcher.Settings;
+import pipitladder.benchlink.MalformedInputException;
+import pipitladder.benchlink.SettingsReader;
+import ryemast.net.Addresses;
+import ryemast.net.servicetable.TableReader;
+import ryemast.net.servicetable.TableUpdate;
+
+/**
+ * The one place where configuration is read, checked and given defaults: the environment names the file and
+ * may say anew where to listen and where discovery is; all else is in the file.
+ *
+ * @param lanes     names of the classes, in the module's order
+ * @param orgs      names of the tenants
+ * @param tick      the least time between two turns of the module, in microseconds
+ * @param connIdle  after how long a worker closes an idle connection, in microseconds
+ * @param grace     how long after its deadline a request may still be answered, in microseconds
+ * @param sockets   how many file descriptors the process may hold
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, Settings settings, List<String> lanes, List<String> orgs, TableReader tableReader,
+        TableUpdate known, long tick, long connIdle, int maxOpen, long grace) {
+
+    private static final int DEFAULT_SOCKETS = 1024;
+    private static final int LEAST_SOCKETS = 64;
+    private static final double DEFAULT_CONN_IDLE = 5e6;
+    private static final double DEFAULT_GRACE = 20e3;
+
+    /** Reads what the environment points to. */
+    public static Config read(Map<String, String> environment) throws ConfigException {
+        var path = environment.get("BALANCER_CONFIG");
+        if (path == null || path.isEmpty()) {
+            throw new ConfigException("BALANCER_CONFIG is not set");
+        }
+        JsonElement json;
+        try {
+            json = JsonParser.parseString(Files.readString(Path.of(path)));
+        } catch (IOException e) {
+            throw new ConfigException("BALANCER_CONFIG: cannot read " + path + ": " + e);
+        } catch (JsonParseException e) {
+            throw new ConfigException("BALANCER_CONFIG: " + path + " is not valid JSON: " + e.getMessage());
+        }
+        if (!json.isJsonObject()) {
+            throw new ConfigException("BALANCER_CONFIG: " + path + " must hold a JSON object");
+        }
+        return new Reader(environment, json.getAsJsonObject()).config();
+    }
+
+    /** The keys of one file. */
+    private record Reader(Map<String, String> environment, JsonObject file) {
+
+        Config config() throws ConfigException {
+            var raw = object(file, "settings", "settings");
+            var settings = settings(raw);
+            var reader = new TableReader(texts(raw, "areas"), texts(raw, "models"));
+            var allowed = optional(raw, "allowed", "settings.allowed");
+            var obligations = optional(raw, "obligations", "settings.obligations");
+            var limits = optional(file, "limits", "limits");
+            return new Config(name(), address("BALANCER_LISTEN", "listen"),
+                    address("BALANCER_DISCOVERY", "discovery"), seed(),
+                    (int) number(limits, "sockets", "limits.sockets", DEFAULT_SOCKETS, LEAST_SOCKETS),
+                    settings, names(raw, "categories"), names(raw, "parties"), reader, known(reader),
+                    settings.resolution(),
+                    (long) number(allowed, "conn_idle", "settings.allowed.conn_idle", DEFAULT_CONN_IDLE, 1),
+                    (int) number(allowed, "max_open", "settings.allowed.max_open", Integer.MAX_VALUE, 1),
+                    (long) number(obligations, "grace_to_answer", "settings.obligations.grace_to_answer",
+                            DEFAULT_GRACE, 0));
+        }
+
+        private String name() throws ConfigException {
+            var given = environment.get("BALANCER_NAME");
+            return given != null ? given : file.has("name") ? text("name") : "dispatcher";
+        }
+
+        private Settings settings(JsonObject raw) throws ConfigException {
+            try {
+                @SuppressWarnings("unchecked")
+                Map<String, Object> map = new Gson().fromJson(raw, Map.class);
+                var settings = SettingsReader.read(map);
+                if (settings.classes().isEmpty()) {
+                    throw new ConfigException("settings.categories: at least one class is needed");
+                }
+                return settings;
+            } catch (MalformedInputException e) {
+                throw new ConfigException("settings: " + e.getMessage());
+            }
+        }
+
+        private TableUpdate known(TableReader reader) throws ConfigException {
+            if (!file.has("known")) {
+                return new TableUpdate(0, true, List.of());
+            }
+            try {
+                return reader.read(file.get("known").toString());
+            } catch (IOException e) {
+                throw new ConfigException("known: " + e.getMessage());
+            }
+        }
+
+        private InetSocketAddress address(String variable, String key) throws ConfigException {
+            var given = environment.get(variable);
+            try {
+                return Addresses.parse(given != null ? given : text(key));
+            } catch (IllegalArgumentException e) {
+                throw new ConfigException((given != null ? variable : key) + ": " + e.getMessage());
+            }
+        }
+
+        private long seed() throws ConfigException {
+            if (!file.has("seed")) {
+                return System.nanoTime();
+            }
+            try {
+                return Long.parseUnsignedLong(text("seed"), 16);
+            } catch (NumberFormatException e) {
+                throw new ConfigException("seed: must be up to 16 hexadecimal digits");
+            }
+        }
+
+        private String text(String key) throws ConfigException {
+            return text(file.get(key), key);
+        }
+
+        private static String text(JsonElement value, String key) throws ConfigException {
+            if (value == null) {
+                throw new ConfigException(key + ": missing");
+            }
+            if (!value.isJsonPrimitive() || !value.getAsJsonPrimitive().isString()) {
+                throw new ConfigException(key + ": must be text");
+            }
+            return value.getAsString();
+        }
+
+        private static JsonObject object(JsonObject from, String key, String path) throws ConfigException {
+            var value = from.get(key);
+            if (value == null || !value.isJsonObject()) {
+                throw new ConfigException(path + (value == null ? ": missing" : ": must be an object"));
+            }
+            return value.getAsJsonObject();
+        }
+
+        private static JsonObject optional(JsonObject from, String key, String path) throws ConfigException {
+            return from.has(key) ? object(from, key, path) : new JsonObject();
+        }
+
+        private static double number(JsonObject from, String key, String path, double otherwise, double least)
+                throws ConfigException {
+            var value = from.get(key);
+            if (value == null) {
+                return otherwise;
+            }
+            if (!value.isJsonPrimitive() || !value.getAsJsonPrimitive().isNumber()
+                    || value.getAsDouble() < least) {
+                throw new ConfigException(path + ": must be a number of at least " + (long) least);
+            }
+            return value.getAsDouble();
+        }
+
+        private static List<JsonElement> array(JsonObject from, String key) throws ConfigException {
+            var value = from.get(key);
+            if (value != null && !value.isJsonArray()) {
+                throw new ConfigException("settings." + key + ": must be an array");
+            }
+            return value == null ? List.of() : value.getAsJsonArray().asList();
+        }
+
+        private static List<String> texts(JsonObject from, String key) throws ConfigException {
+            var found = new ArrayList<String>();
+            for (var each : array(from, key)) {
+                found.add(text(each, "settings." + key));
+            }
+            return List.copyOf(found);
+        }
+
+        private static List<String> names(JsonObject from, String key) throws ConfigException {
+            var found = new ArrayList<String>();
+            for (var each : array(from, key)) {
+                var path = "settings." + key + "[" + found.size() + "]";
+                if (!each.isJsonObject()) {
+                    throw new ConfigException(path + ": must be an object");
+                }
+                found.add(text(each.getAsJsonObject().get("name"), path + ".name"));
+            }
+            return List.copyOf(found);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ryemast/core/Exchange.java
@@ -0,0 +1,322 @@
+package ryemast.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import pipitladder.Dispatcher;
+import pipitladder.Dispatcher.Action;
+import pipitladder.Dispatcher.AttemptEnded;
+import pipitladder.Dispatcher.AttemptProgress;
+import pipitladder.Dispatcher.AttemptStarted;
+import pipitladder.Dispatcher.Cancel;
+import pipitladder.Dispatcher.ClientGone;
+import pipitladder.Dispatcher.Event;
+import pipitladder.Dispatcher.Fail;
+import pipitladder.Dispatcher.ListKind;
+import pipitladder.Dispatcher.Outcome;
+import pipitladder.Dispatcher.Refuse;
+import pipitladder.Dispatcher.Request;
+import pipitladder.Dispatcher.Send;
+import pipitladder.Dispatcher.SetTimer;
+import pipitladder.Dispatcher.Subscribe;
+import pipitladder.Dispatcher.TimerDue;
+import pipitladder.Dispatcher.WorkerInfo;
+import pipitladder.Dispatcher.WorkerList;
+
+/**
+ * Stands between the fronts, the regions, the service table and the decision module; it decides nothing.
+ * It owns the transactions and their routed tasks, numbers them for the module, and sees to it that each
+ * transaction is answered once and each routed task ends once. All calls are made on the loop's thread.
+ */
+public final class Exchange {
+
+    private static final Logger LOG = Logger.getLogger(Exchange.class.getName());
+
+    private final Loop loop;
+    private final Dispatcher module;
+    private final int maxOpen;
+    private final int maxAttempts;
+    private final long grace;
+    private Region region;
+    private ServiceTable serviceTable;
+    private final Map<String, Transaction> byTxn = new HashMap<>();
+    private final Map<Long, Transaction> byNumber = new HashMap<>();
+    private final Set<String> listedWorkers = new HashSet<>();
+    private List<Event> gathered = new ArrayList<>();
+    private final List<Action> actions = new ArrayList<>();
+    private long lastNumber;
+    private int open;
+
+    /**
+     * @param maxOpen      how many transactions may be open; more are turned away before the module
+     * @param maxAttempts  how many routed tasks one transaction may have
+     * @param grace        how long after the deadline an answer still counts, in microseconds
+     */
+    public Exchange(Loop loop, Dispatcher module, int maxOpen, int maxAttempts, long grace) {
+        this.loop = loop;
+        this.module = module;
+        this.maxOpen = maxOpen;
+        this.maxAttempts = maxAttempts;
+        this.grace = grace;
+        loop.settleWith(this::settle);
+    }
+
+    public void connect(Region toWorkers, ServiceTable table) {
+        region = toWorkers;
+        serviceTable = table;
+    }
+
+    /** How many transactions still wait for their answer. */
+    public int open() {
+        return open;
+    }
+
+    /** Whether the name is free: two open transactions under one name could not be told apart. */
+    public boolean isFree(String txn) {
+        return !byTxn.containsKey(txn);
+    }
+
+    /** Takes in a transaction whose name {@link #isFree}. From here on its terminal is owed one answer. */
+    public Transaction submit(Submission submission, Terminal terminal) {
+        var transaction = new Transaction(++lastNumber, submission, terminal);
+        if (open >= maxOpen) {
+            transaction.answered = true;
+            terminal.refused(0);
+            return transaction;
+        }
+        open++;
+        byTxn.put(submission.txn(), transaction);
+        byNumber.put(transaction.number, transaction);
+        transaction.backstop = loop.at(submission.deadline() + grace, () -> overdue(transaction));
+        gathered.add(new Request(transaction.number, submission.jobClass(), submission.tenant(),
+                submission.slots(), submission.memory(), submission.costHint(),
+                Math.max(0, submission.deadline() - loop.now())));
+        return transaction;
+    }
+
+    /** The client has closed its connection. */
+    public void left(Transaction transaction) {
+        if (!transaction.answered) {
+            finish(transaction);
+            gathered.add(new ClientGone(transaction.number));
+        }
+    }
+
+    /** The worker has taken the job. */
+    public void accepted(RoutedTask task) {
+        task.accept();
+    }
+
+    /** The region reports the end of a routed task; one that has ended already is passed over. */
+    public void ended(RoutedTask task, Outcome outcome) {
+        conclude(task, outcome, null);
+    }
+
+    /** A worker's word on a job. It may come before the 202, repeatedly, or for what is long over. */
+    public void calledBack(CallBack call) {
+        var task = meant(call);
+        if (task == null) {
+            LOG.fine(() -> "call-back for nothing that is open: " + call.txn() + " " + call.state());
+            return;
+        }
+        switch (call.state()) {
+            case STARTED -> started(task);
+            case RUNNING -> {
+                started(task);
+                gathered.add(new AttemptProgress(task.transaction.number, task.number, task.worker,
+                        call.share()));
+            }
+            case DONE -> conclude(task, Outcome.SUCCESS, call.result());
+            case FAILED -> conclude(task, Outcome.ERROR, null);
+            case RETURNED -> conclude(task, Outcome.REJECTED, null);
+            case LOST -> conclude(task, Outcome.RESET, null);
+            default -> throw new IllegalStateException(call.state().name());
+        }
+    }
+
+    /**
+     * The routed task that a call-back is about: by the job's name and the worker. Guards a newer attempt at
+     * the same worker against the late word of one that was given up: until the newer one is accepted, an
+     * end that the older one never told is taken to be the older one's.
+     */
+    private RoutedTask meant(CallBack call) {
+        var transaction = byTxn.get(call.txn());
+        RoutedTask found = null;
+        RoutedTask untold = null;
+        if (transaction != null) {
+            for (var task : transaction.tasks) {
+                if (task.worker.equals(call.from())) {
+                    untold = found != null && found.ended() && !found.toldOfEnd ? found : untold;
+                    found = task;
+                }
+            }
+        }
+        if (found == null) {
+            return null;
+        }
+        boolean isEnd = call.state() != CallBack.State.STARTED && call.state() != CallBack.State.RUNNING;
+        if (untold != null && !found.accepted()) {
+            untold.toldOfEnd |= isEnd;
+            return null;
+        }
+        found.toldOfEnd |= isEnd;
+        return found.ended() ? null : found;
+    }
+
+    private void started(RoutedTask task) {
+        if (!task.toldOfStart) {
+            task.toldOfStart = true;
+            gathered.add(new AttemptStarted(task.transaction.number, task.number, task.worker));
+        }
+    }
+
+    /** What the service table says; the module follows it before its next round. */
+    public void listed(ListKind kind, List<WorkerInfo> workers) {
+        workers.forEach(worker -> listedWorkers.add(worker.id()));
+        gathered.add(new WorkerList(kind, workers));
+    }
+
+    private void conclude(RoutedTask task, Outcome outcome, String result) {
+        if (task.ended()) {
+            return;
+        }
+        task.end();
+        task.timeOut.run();
+        var transaction = task.transaction;
+        if (outcome == Outcome.SUCCESS && !transaction.answered) {
+            finish(transaction);
+            guarded(() -> transaction.terminal.served(result));
+        }
+        gathered.add(new AttemptEnded(transaction.number, task.number, task.worker, outcome,
+                transaction.answered, null));
+        forgetIfOver(transaction);
+    }
+
+    private void finish(Transaction transaction) {
+        transaction.answered = true;
+        transaction.backstop.run();
+        open--;
+        forgetIfOver(transaction);
+    }
+
+    private void forgetIfOver(Transaction transaction) {
+        if (transaction.over()) {
+            byTxn.remove(transaction.submission.txn(), transaction);
+            byNumber.remove(transaction.number);
+        }
+    }
+
+    /** Guards a client against an answer that the module forgot, as after a bug: it fails in time. */
+    private void overdue(Transaction transaction) {
+        if (!transaction.answered) {
+            LOG.severe("no final answer for " + transaction.submission.txn() + " by its deadline");
+            failForModule(transaction);
+        }
+    }
+
+    private void failForModule(Transaction transaction) {
+        finish(transaction);
+        guarded(transaction.terminal::failed);
+        gathered.add(new ClientGone(transaction.number));
+    }
+
+    /** Hands what was gathered to the module at one clock reading, then carries out its actions in order. */
+    private boolean settle() {
+        var events = gathered;
+        gathered = new ArrayList<>();
+        for (var event : events) {
+            try {
+                module.handle(loop.now(), event, actions::add);
+            } catch (RuntimeException | StackOverflowError e) {
+                LOG.log(Level.SEVERE, "the module failed on " + event, e);
+                if (event instanceof Request request && byNumber.containsKey(request.id())) {
+                    failForModule(byNumber.get(request.id()));
+                }
+            }
+        }
+        for (var action : actions) {
+            guarded(() -> carryOut(action));
+        }
+        actions.clear();
+        return !gathered.isEmpty();
+    }
+
+    private static void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "an action failed", e);
+        }
+    }
+
+    private void carryOut(Action action) {
+        if (action instanceof Send send) {
+            send(byNumber.get(send.request()), send);
+        } else if (action instanceof SetTimer timer) {
+            loop.at(timer.dueAt(), () -> gathered.add(new TimerDue(timer.name())));
+        } else if (action instanceof Refuse refuse) {
+            var transaction = unanswered(refuse.request());
+            if (transaction != null) {
+                finish(transaction);
+                transaction.terminal.refused(refuse.retryAfter());
+            }
+        } else if (action instanceof Fail fail) {
+            var transaction = unanswered(fail.request());
+            if (transaction != null) {
+                finish(transaction);
+                transaction.terminal.failed();
+            }
+        } else if (action instanceof Cancel cancel) {
+            cancel(byNumber.get(cancel.request()), cancel.attempt());
+        } else if (action instanceof Subscribe) {
+            serviceTable.watch();
+        } else if (action instanceof Dispatcher.Log log) {
+            LOG.info(log.text());
+        } else {
+            LOG.warning("not permitted here: " + action);
+        }
+    }
+
+    private Transaction unanswered(long number) {
+        var transaction = byNumber.get(number);
+        return transaction == null || transaction.answered ? null : transaction;
+    }
+
+    /** A time-out is cut at the client's deadline, so that the module can still answer in time. */
+    private void send(Transaction transaction, Send send) {
+        if (transaction == null) {
+            LOG.warning("a send for a transaction that is over: " + send);
+            return;
+        }
+        long deadline = transaction.submission.deadline();
+        long until = send.timeOut() > 0 ? Math.min(deadline, loop.now() + send.timeOut()) : deadline;
+        var task = new RoutedTask(transaction, transaction.tasks.size(), send.worker(), until);
+        transaction.tasks.add(task);
+        boolean moot = transaction.answered || until <= loop.now() || task.number >= maxAttempts
+                || !listedWorkers.contains(send.worker());
+        task.timeOut = moot ? () -> { } : loop.at(until, () -> abandon(task, Outcome.TIMED_OUT));
+        if (moot) {
+            conclude(task, Outcome.NOT_SENT, null);
+        } else {
+            region.start(task);
+        }
+    }
+
+    private void cancel(Transaction transaction, int number) {
+        if (transaction != null && number >= 0 && number < transaction.tasks.size()) {
+            abandon(transaction.tasks.get(number), Outcome.CANCELLED);
+        }
+    }
+
+    private void abandon(RoutedTask task, Outcome outcome) {
+        if (!task.ended()) {
+            conclude(task, outcome, null);
+            region.giveUp(task);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ryemast/core/Loop.java
@@ -0,0 +1,93 @@
+package ryemast.core;
+
+import java.util.ArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The one thread that owns all state. A turn takes one reading of the clock, gathers everything that is
+ * ready (what other threads have posted, then due timers), and then lets the exchange settle it in one go.
+ */
+public final class Loop {
+
+    private static final Logger LOG = Logger.getLogger(Loop.class.getName());
+
+    private final LinkedBlockingQueue<Runnable> inbound = new LinkedBlockingQueue<>();
+    private final Clock clock;
+    private final TickWheel wheel;
+    private Settler settler = () -> false;
+    private long now;
+    private volatile boolean ended;
+
+    /** What ends a turn; true if it left work for the next turn. */
+    interface Settler {
+        boolean settle();
+    }
+
+    public Loop(Clock clock, long tickLength) {
+        this.clock = clock;
+        now = clock.now();
+        wheel = new TickWheel(tickLength, now);
+    }
+
+    void settleWith(Settler each) {
+        settler = each;
+    }
+
+    /** Hands something to the loop; the only call that other threads may make, beside {@link #end}. */
+    public void post(Runnable step) {
+        inbound.add(step);
+    }
+
+    /** The clock reading of the present turn. */
+    public long now() {
+        return now;
+    }
+
+    /** Runs something in the turn at or after a time; the returned step takes that back. */
+    public Runnable at(long dueAt, Runnable due) {
+        return wheel.set(dueAt, due)::cancel;
+    }
+
+    public void end() {
+        ended = true;
+        post(() -> { });
+    }
+
+    /** Turns until {@link #end}. */
+    public void run() {
+        var ready = new ArrayList<Runnable>();
+        boolean more = false;
+        while (!ended) {
+            try {
+                long wait = more ? 0 : Math.max(0, wheel.nextDue() - clock.now());
+                var first = inbound.poll(wait, TimeUnit.MICROSECONDS);
+                now = Math.max(now, clock.now());
+                if (first != null) {
+                    ready.add(first);
+                    inbound.drainTo(ready);
+                }
+                ready.forEach(Loop::guarded);
+                ready.clear();
+                wheel.advance(now).forEach(Loop::guarded);
+                more = settler.settle();
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException | StackOverflowError e) {
+                LOG.log(Level.SEVERE, "a turn failed", e);
+                ready.clear();
+            }
+        }
+    }
+
+    /** Guards the loop against a handler's bug: it costs that one step, not the program. */
+    private static void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            LOG.log(Level.SEVERE, "a step of the loop failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ryemast/core/Submission.java
@@ -0,0 +1,12 @@
+package ryemast.core;
+
+/**
+ * What a front hands in: a job, as the module wants it described and as a region wants it passed on.
+ *
+ * @param txn       the front's name for it: opaque text, unlike any other that is open
+ * @param deadline  on the loop's clock: until when the client waits
+ * @param target    what the job concerns, passed on unchanged
+ */
+public record Submission(String txn, int jobClass, int tenant, double slots, double memory, long costHint,
+        long deadline, String target, byte[] body) {
+}
--- /dev/null
+++ b/src/main/java/ryemast/core/Transaction.java
@@ -0,0 +1,25 @@
+package ryemast.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One request from a terminal, from its arrival until it is answered and all its routed tasks have ended. */
+public final class Transaction {
+
+    final long number;
+    final Submission submission;
+    final Terminal terminal;
+    final List<RoutedTask> tasks = new ArrayList<>(1);
+    boolean answered;
+    Runnable backstop;
+
+    Transaction(long number, Submission submission, Terminal terminal) {
+        this.number = number;
+        this.submission = submission;
+        this.terminal = terminal;
+    }
+
+    boolean over() {
+        return answered && tasks.stream().allMatch(RoutedTask::ended);
+    }
+}
--- /dev/null
+++ b/src/main/java/ryemast/net/Transport.java
@@ -0,0 +1,47 @@
+package ryemast.net;
+
+import org.apache.mina.core.filterchain.DefaultIoFilterChainBuilder;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.filter.codec.ProtocolCodecFilter;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import ryemast.net.http.HttpCodec;
+
+/** MINA's threads and settings: one selector serves all connections, in and out. */
+public final class Transport {
+
+    private static final int READ_BUFFER = 2048;
+    private static final int MAX_READ_BUFFER = 16 * 1024;
+
+    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+
+    public IoProcessor<NioSession> processor() {
+        return processor;
+    }
+
+    /** A connector of its own for each kind of peer, as each speaks in its own form. */
+    public NioSocketConnector connector(HttpCodec codec, IoHandlerAdapter handler) {
+        var connector = new NioSocketConnector(processor);
+        setUp(connector.getSessionConfig(), connector.getFilterChain(), codec);
+        connector.setHandler(handler);
+        return connector;
+    }
+
+    public static void setUp(SocketSessionConfig config, DefaultIoFilterChainBuilder chain, HttpCodec codec) {
+        config.setTcpNoDelay(true);
+        config.setKeepAlive(true);
+        config.setReadBufferSize(READ_BUFFER);
+        config.setMaxReadBufferSize(MAX_READ_BUFFER);
+        chain.addLast("http", new ProtocolCodecFilter(codec));
+    }
+
+    /** What a peer's session does that has failed: nothing more can be said on it. */
+    public static void drop(IoSession session) {
+        session.closeNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/ryemast/net/http/HttpCodec.java
@@ -0,0 +1,170 @@
+package ryemast.net.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.session.AttributeKey;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.filter.codec.ProtocolCodecFactory;
+import org.apache.mina.filter.codec.ProtocolDecoder;
+import org.apache.mina.filter.codec.ProtocolDecoderAdapter;
+import org.apache.mina.filter.codec.ProtocolDecoderOutput;
+import org.apache.mina.filter.codec.ProtocolEncoder;
+import org.apache.mina.filter.codec.ProtocolEncoderAdapter;
+import org.apache.mina.filter.codec.ProtocolEncoderOutput;
+
+/**
+ * The parser as a MINA codec. A handler receives an {@link HttpMessage} for each whole message or, in
+ * streams, an {@link HttpHead}, byte arrays and {@link #END}. What can't be understood comes as one
+ * {@link HttpException}; all that follows it on that connection is dropped.
+ */
+public final class HttpCodec implements ProtocolCodecFactory {
+
+    public static final Object END = new Object();
+
+    private enum Form { REQUESTS, RESPONSES, STREAM }
+
+    private static final AttributeKey STATE = new AttributeKey(HttpCodec.class, "state");
+    private static final byte[] CONTINUE =
+            "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+
+    private final Form form;
+    private final long maxBody;
+
+    private HttpCodec(Form form, long maxBody) {
+        this.form = form;
+        this.maxBody = maxBody;
+    }
+
+    public static HttpCodec requests(int maxBody) {
+        return new HttpCodec(Form.REQUESTS, maxBody);
+    }
+
+    public static HttpCodec responses(int maxBody) {
+        return new HttpCodec(Form.RESPONSES, maxBody);
+    }
+
+    /** Responses whose bodies have no end. */
+    public static HttpCodec stream() {
+        return new HttpCodec(Form.STREAM, Long.MAX_VALUE);
+    }
+
+    @Override
+    public ProtocolEncoder getEncoder(IoSession session) {
+        return new Encoder();
+    }
+
+    @Override
+    public ProtocolDecoder getDecoder(IoSession session) {
+        return new Decoder();
+    }
+
+    /** What one connection has sent so far. */
+    private final class Reading implements HttpParser.Sink {
+        private final HttpParser parser = new HttpParser(form == Form.REQUESTS, maxBody, this);
+        private final IoSession session;
+        private ProtocolDecoderOutput out;
+        private HttpHead head;
+        private ByteArrayOutputStream body;
+        private boolean failed;
+
+        Reading(IoSession session) {
+            this.session = session;
+        }
+
+        @Override
+        public void head(HttpHead next) {
+            head = next;
+            if (form == Form.STREAM) {
+                out.write(next);
+            } else if (form == Form.REQUESTS && next.lists("expect", "100-continue")) {
+                session.write(IoBuffer.wrap(CONTINUE));
+            }
+        }
+
+        @Override
+        public void body(byte[] part) {
+            if (form == Form.STREAM) {
+                out.write(part);
+            } else {
+                body = body == null ? new ByteArrayOutputStream(part.length) : body;
+                body.writeBytes(part);
+            }
+        }
+
+        @Override
+        public void end() {
+            boolean interim = form != Form.REQUESTS && head.status() < 200;
+            if (form == Form.STREAM) {
+                out.write(interim ? HttpMessage.EMPTY : END);
+            } else if (!interim) {
+                out.write(new HttpMessage(head, body == null ? HttpMessage.EMPTY : body.toByteArray()));
+            }
+            body = null;
+        }
+    }
+
+    private final class Decoder extends ProtocolDecoderAdapter {
+        @Override
+        public void decode(IoSession session, IoBuffer in, ProtocolDecoderOutput out) {
+            var reading = reading(session, out);
+            if (reading.failed) {
+                in.position(in.limit());
+                return;
+            }
+            try {
+                reading.parser.feed(in.buf());
+            } catch (HttpException e) {
+                reading.failed = true;
+                in.position(in.limit());
+                out.write(e);
+            }
+        }
+
+        @Override
+        public void finishDecode(IoSession session, ProtocolDecoderOutput out) {
+            var reading = reading(session, out);
+            if (!reading.failed) {
+                try {
+                    reading.parser.endOfInput();
+                } catch (HttpException e) {
+                    reading.failed = true;
+                }
+            }
+        }
+
+        private Reading reading(IoSession session, ProtocolDecoderOutput out) {
+            var reading = (Reading) session.getAttribute(STATE);
+            if (reading == null) {
+                reading = new Reading(session);
+                session.setAttribute(STATE, reading);
+            }
+            reading.out = out;
+            return reading;
+        }
+    }
+
+    private static final class Encoder extends ProtocolEncoderAdapter {
+        @Override
+        public void encode(IoSession session, Object message, ProtocolEncoderOutput out) {
+            out.write(IoBuffer.wrap(bytes((HttpMessage) message)));
+        }
+    }
+
+    /** A message as it travels. Its length is always told. */
+    static byte[] bytes(HttpMessage message) {
+        var head = message.head();
+        var text = new StringBuilder(256);
+        text.append(head.first()).append(' ').append(head.second()).append(' ').append(head.third());
+        text.append("\r\n");
+        head.headers().forEach((name, value) -> text.append(name).append(": ").append(value).append("\r\n"));
+        if (message.body().length > 0 || !head.first().equals("GET")) {
+            text.append("Content-Length: ").append(message.body().length).append("\r\n");
+        }
+        text.append("\r\n");
+        var out = new ByteArrayOutputStream(text.length() + message.body().length);
+        out.writeBytes(text.toString().getBytes(StandardCharsets.ISO_8859_1));
+        out.writeBytes(message.body());
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/main/java/ryemast/net/servicetable/TableWatch.java
@@ -0,0 +1,197 @@
+package ryemast.net.servicetable;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.logging.Logger;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import pipitladder.Dispatcher.ListKind;
+import pipitladder.Dispatcher.WorkerInfo;
+import ryemast.core.Exchange;
+import ryemast.core.Loop;
+import ryemast.core.ServiceTable;
+import ryemast.net.Addresses;
+import ryemast.net.Transport;
+import ryemast.net.http.HttpCodec;
+import ryemast.net.http.HttpException;
+import ryemast.net.http.HttpHead;
+import ryemast.net.http.HttpMessage;
+
+/** Holds a watch on the service table whenever the module has asked for one, and knows the addresses. */
+public final class TableWatch implements ServiceTable {
+
+    private static final Logger LOG = Logger.getLogger(TableWatch.class.getName());
+    /** A watch speaks every 2 s; this long without a word, several beats are missing. */
+    private static final long SILENCE = 6_500_000;
+    /** Guards the memory against a line without end: some thousand workers fit. */
+    private static final int MAX_LINE = 1 << 20;
+
+    private final Loop loop;
+    private final Exchange exchange;
+    private final InetSocketAddress discovery;
+    private final TableReader reader;
+    private final NioSocketConnector connector;
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private long version;
+    private Watch watch;
+
+    public TableWatch(Loop loop, Exchange exchange, Transport transport, InetSocketAddress discovery,
+            TableReader reader) {
+        this.loop = loop;
+        this.exchange = exchange;
+        this.discovery = discovery;
+        this.reader = reader;
+        connector = transport.connector(HttpCodec.stream(), new Handler());
+    }
+
+    /** The list as it was last known, before discovery has been asked. */
+    public void begin(TableUpdate known) {
+        follow(known, ListKind.CACHED);
+    }
+
+    /** Where a worker is; null if it never was listed. */
+    public InetSocketAddress address(String worker) {
+        return addresses.get(worker);
+    }
+
+    @Override
+    public void watch() {
+        if (watch != null) {
+            var old = watch;
+            watch = null;
+            old.close();
+        }
+        watch = new Watch();
+        watch.open();
+    }
+
+    private void follow(TableUpdate update, ListKind kind) {
+        version = update.version();
+        for (var entry : update.entries()) {
+            if (entry.address() != null) {
+                addresses.put(entry.worker().id(), entry.address());
+            }
+        }
+        List<WorkerInfo> workers = update.entries().stream().map(TableUpdate.Entry::worker).toList();
+        exchange.listed(kind, workers);
+    }
+
+    /** One call to discovery, from its connecting to its end; one that is replaced is not heard any more. */
+    private final class Watch {
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private IoSession session;
+        private Runnable alarm = () -> { };
+
+        void open() {
+            heard();
+            connector.connect(discovery).addListener(future -> loop.post(() -> {
+                if (!((org.apache.mina.core.future.ConnectFuture) future).isConnected()) {
+                    fail("cannot connect");
+                    return;
+                }
+                session = future.getSession();
+                session.setAttribute(Watch.class, this);
+                if (watch != this) {
+                    close();
+                    return;
+                }
+                var head = HttpHead.request("GET", "/catalog/members?watch=1&from=" + version)
+                        .with("Host", Addresses.text(discovery)).with("Accept", "application/json");
+                session.write(new HttpMessage(head, HttpMessage.EMPTY));
+            }));
+        }
+
+        void close() {
+            alarm.run();
+            if (session != null) {
+                session.closeNow();
+            }
+        }
+
+        /** Every failure and every end of a watch is told to the module, which decides when to ask again. */
+        void fail(String why) {
+            if (watch == this) {
+                LOG.warning("the watch on the service table failed: " + why);
+                watch = null;
+                close();
+                exchange.listed(ListKind.FAILED, List.of());
+            }
+        }
+
+        private void heard() {
+            alarm.run();
+            alarm = loop.at(loop.now() + SILENCE, () -> fail("silence"));
+        }
+
+        void received(Object part) {
+            if (watch != this) {
+                return;
+            }
+            if (part instanceof HttpHead head && head.status() >= 200 && head.status() != 200) {
+                fail("status " + head.status());
+            } else if (part instanceof HttpException e) {
+                fail(e.getMessage());
+            } else if (part == HttpCodec.END) {
+                fail("it ended");
+            } else if (part instanceof byte[] bytes) {
+                heard();
+                for (byte each : bytes) {
+                    take(each);
+                }
+            }
+        }
+
+        private void take(byte next) {
+            if (next != '\n') {
+                line.write(next);
+                if (line.size() > MAX_LINE) {
+                    fail("a line of over " + MAX_LINE + " bytes");
+                    line.reset();
+                }
+                return;
+            }
+            var text = line.toString(StandardCharsets.UTF_8).strip();
+            line.reset();
+            if (!text.isEmpty() && watch == this) {
+                try {
+                    var update = reader.read(text);
+                    follow(update, update.full() ? ListKind.COMPLETE : ListKind.CHANGES);
+                } catch (IOException e) {
+                    fail("a malformed line: " + e.getMessage());
+                }
+            }
+        }
+    }
+
+    /** Hands everything to the loop; the attribute is read there, after {@link Watch#open} has set it. */
+    private final class Handler extends IoHandlerAdapter {
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            loop.post(() -> of(session).received(message));
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            loop.post(() -> {
+                if (of(session) != null) {
+                    of(session).fail("the connection ended");
+                }
+            });
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            Transport.drop(session);
+        }
+
+        private Watch of(IoSession session) {
+            return (Watch) session.getAttribute(Watch.class);
+        }
+    }
+}
