Guard the sockets, match late call-backs, tell when to come back; tests over sockets

Found by the new integration tests: Exchange.meant took a worker's word before the 202 for an earlier attempt's although that one had been turned away by a 503, so the job waited for its deadline; only an attempt that timed out, was cancelled or reset still owes a word. A repeated 'returned' ended the next attempt at the same worker.

--- a/src/main/java/ryemast/Service.java
+++ b/src/main/java/ryemast/Service.java
@@ -7,9 +7,11 @@
 import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
+import ryemast.net.Addresses;
 import ryemast.net.Transport;
 import ryemast.net.region.RegionPool;
 import ryemast.net.servicetable.TableWatch;
+import ryemast.net.terminal.JobReader;
 import ryemast.net.terminal.TerminalServer;
 import sun.misc.Signal;
 
@@ -20,7 +22,10 @@
     /** Descriptors for all that is no connection: jar, standard streams, selectors, discovery. */
     private static final int RESERVED_SOCKETS = 48;
     private static final int REGIONS_SHARE = 3;
-    /** After SIGTERM, clients still open connections for a while. */
+    /** Of the connections to us, the part that jobs leave free, so that call-backs always get through. */
+    private static final int CALL_BACK_SHARE = 8;
+    /** After SIGTERM, clients still open connections and use the ones they have for a while. */
+    private static final long CLIENTS_COME = 450_000;
     private static final long LEAST_DRAIN = 700_000;
     private static final long DRAIN_CHECK = 20_000;
 
@@ -35,17 +40,20 @@
     Service(Config config) {
         this.config = config;
         var settings = config.settings();
-        loop = new Loop(clock, config.tick());
-        exchange = new Exchange(loop, new Brain(settings, config.seed()), config.maxOpen(),
+        loop = new Loop(clock::now, config.tick());
+        int sockets = Math.max(2 * REGIONS_SHARE, config.sockets() - RESERVED_SOCKETS);
+        int regions = sockets / REGIONS_SHARE;
+        int terminalSockets = sockets - regions;
+        int forCallBacks = Math.max(1, terminalSockets / CALL_BACK_SHARE);
+        int jobs = Math.min(config.maxOpen(), terminalSockets - forCallBacks);
+        exchange = new Exchange(loop, new Brain(settings, config.seed()), jobs,
                 settings.limits().maxAttempts(), config.grace());
         var transport = new Transport();
-        int sockets = config.sockets() - RESERVED_SOCKETS;
-        int regions = sockets / REGIONS_SHARE;
         table = new TableWatch(loop, exchange, transport, config.discovery(), config.tableReader());
         var pool = new RegionPool(loop, exchange, transport, table::address,
-                settings.limits().connectTimeout(), config.connIdle(), regions);
-        terminals = new TerminalServer(loop, exchange, transport, clock, config.lanes(), config.orgs(),
-                sockets - regions);
+                config.connectLimit(), config.connIdle(), regions);
+        terminals = new TerminalServer(loop, exchange, transport, clock,
+                new JobReader(config.lanes(), config.orgs()), terminalSockets);
         exchange.connect(pool, table);
     }
 
@@ -54,9 +62,9 @@
         Signal.handle(new Signal("TERM"), signal -> loop.post(this::drain));
         Signal.handle(new Signal("INT"), signal -> loop.post(this::drain));
         loop.post(() -> table.begin(config.known()));
-        terminals.listen(config.listen());
+        var address = terminals.listen(config.listen());
         loop.post(terminals::ready);
-        LOG.info(config.name() + " listens at " + config.listen());
+        LOG.info(config.name() + " listens at " + Addresses.text(address));
         loop.run();
         terminals.stop();
         System.exit(0);
@@ -72,12 +80,14 @@
     }
 
     private void endWhenQuiet() {
-        if (loop.now() - drainingSince >= LEAST_DRAIN) {
+        long since = loop.now() - drainingSince;
+        if (since >= CLIENTS_COME) {
             terminals.closeResting();
-            if (exchange.open() == 0 && terminals.isQuiet()) {
-                loop.end();
-                return;
-            }
+        }
+        if (since >= LEAST_DRAIN && exchange.open() == 0 && terminals.isQuiet()) {
+            LOG.info("ended: all is answered");
+            loop.end();
+            return;
         }
         loop.at(loop.now() + DRAIN_CHECK, this::endWhenQuiet);
     }
--- a/src/main/java/ryemast/core/Exchange.java
+++ b/src/main/java/ryemast/core/Exchange.java
@@ -141,30 +141,30 @@
 
     /**
      * The routed task that a call-back is about: by the job's name and the worker. Guards a newer attempt at
-     * the same worker against the late word of one that was given up: until the newer one is accepted, an
-     * end that the older one never told is taken to be the older one's.
+     * the same worker against words meant for an older one: until the newer one is accepted, an end that the
+     * older one still owes, or tells again, is taken to be the older one's.
      */
     private RoutedTask meant(CallBack call) {
         var transaction = byTxn.get(call.txn());
-        RoutedTask found = null;
-        RoutedTask untold = null;
+        RoutedTask newest = null;
+        RoutedTask older = null;
         if (transaction != null) {
             for (var task : transaction.tasks) {
                 if (task.worker.equals(call.from())) {
-                    untold = found != null && found.ended() && !found.toldOfEnd ? found : untold;
-                    found = task;
+                    older = newest;
+                    newest = task;
                 }
             }
         }
-        if (found == null) {
+        if (newest == null) {
             return null;
         }
-        boolean isEnd = call.state() != CallBack.State.STARTED && call.state() != CallBack.State.RUNNING;
-        if (untold != null && !found.accepted()) {
-            untold.toldOfEnd |= isEnd;
-            return null;
+        boolean forOlder = older != null && older.ended() && !newest.accepted()
+                && (older.owesWord() || older.toldEnd == call.state());
+        var found = forOlder ? older : newest;
+        if (call.state() != CallBack.State.STARTED && call.state() != CallBack.State.RUNNING) {
+            found.toldEnd = call.state();
         }
-        found.toldOfEnd |= isEnd;
         return found.ended() ? null : found;
     }
 
@@ -185,7 +185,7 @@
         if (task.ended()) {
             return;
         }
-        task.end();
+        task.end(outcome);
         task.timeOut.run();
         var transaction = task.transaction;
         if (outcome == Outcome.SUCCESS && !transaction.answered) {
--- a/src/main/java/ryemast/core/Loop.java
+++ b/src/main/java/ryemast/core/Loop.java
@@ -1,8 +1,10 @@
 package ryemast.core;
 
 import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -15,7 +17,7 @@
     private static final Logger LOG = Logger.getLogger(Loop.class.getName());
 
     private final LinkedBlockingQueue<Runnable> inbound = new LinkedBlockingQueue<>();
-    private final Clock clock;
+    private final LongSupplier clock;
     private final TickWheel wheel;
     private Settler settler = () -> false;
     private long now;
@@ -26,9 +28,10 @@
         boolean settle();
     }
 
-    public Loop(Clock clock, long tickLength) {
+    /** {@code tickLength}: how coarse the timers are, in microseconds. */
+    public Loop(LongSupplier clock, long tickLength) {
         this.clock = clock;
-        now = clock.now();
+        now = clock.getAsLong();
         wheel = new TickWheel(tickLength, now);
     }
 
@@ -46,7 +49,7 @@
         return now;
     }
 
-    /** Runs something in the turn at or after a time; the returned step takes that back. */
+    /** Runs something in the first turn at or after a time; the returned step takes that back. */
     public Runnable at(long dueAt, Runnable due) {
         return wheel.set(dueAt, due)::cancel;
     }
@@ -58,36 +61,43 @@
 
     /** Turns until {@link #end}. */
     public void run() {
-        var ready = new ArrayList<Runnable>();
         boolean more = false;
         while (!ended) {
+            long wait = more ? 0 : Math.max(0, wheel.nextDue() - clock.getAsLong());
             try {
-                long wait = more ? 0 : Math.max(0, wheel.nextDue() - clock.now());
-                var first = inbound.poll(wait, TimeUnit.MICROSECONDS);
-                now = Math.max(now, clock.now());
-                if (first != null) {
-                    ready.add(first);
-                    inbound.drainTo(ready);
-                }
-                ready.forEach(Loop::guarded);
-                ready.clear();
-                wheel.advance(now).forEach(Loop::guarded);
-                more = settler.settle();
+                more = turn(inbound.poll(wait, TimeUnit.MICROSECONDS));
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException | StackOverflowError e) {
-                LOG.log(Level.SEVERE, "a turn failed", e);
-                ready.clear();
             }
         }
     }
 
-    /** Guards the loop against a handler's bug: it costs that one step, not the program. */
-    private static void guarded(Runnable step) {
+    /** One turn, with what was waited for, if anything came; true if it left work for the next one. */
+    boolean turn(Runnable first) {
+        var ready = new ArrayList<Runnable>();
+        if (first != null) {
+            ready.add(first);
+        }
+        inbound.drainTo(ready);
+        now = Math.max(now, clock.getAsLong());
+        carryOut(ready);
+        carryOut(wheel.advance(now));
         try {
-            step.run();
+            return settler.settle();
         } catch (RuntimeException | StackOverflowError e) {
-            LOG.log(Level.SEVERE, "a step of the loop failed", e);
+            LOG.log(Level.SEVERE, "a turn failed", e);
+            return false;
+        }
+    }
+
+    /** Guards the loop against a handler's bug: it costs that one step, not the program. */
+    private static void carryOut(List<Runnable> steps) {
+        for (var step : steps) {
+            try {
+                step.run();
+            } catch (RuntimeException | StackOverflowError e) {
+                LOG.log(Level.SEVERE, "a step of the loop failed", e);
+            }
         }
     }
 }
--- a/src/main/java/ryemast/core/RoutedTask.java
+++ b/src/main/java/ryemast/core/RoutedTask.java
@@ -1,5 +1,7 @@
 package ryemast.core;
 
+import pipitladder.Dispatcher.Outcome;
+
 /** One attempt: a transaction sent to a worker. It ends once, with one outcome. */
 public final class RoutedTask {
 
@@ -9,8 +11,10 @@
     final long until;
     Runnable timeOut;
     private boolean accepted;
-    private boolean ended;
-    boolean toldOfEnd;
+    private Outcome outcome;
+    private Object carrier;
+    /** The end that the worker itself told, or null. */
+    CallBack.State toldEnd;
     boolean toldOfStart;
 
     RoutedTask(Transaction transaction, int number, String worker, long until) {
@@ -35,7 +39,7 @@
     }
 
     public boolean ended() {
-        return ended;
+        return outcome != null;
     }
 
     /** Whether the worker has said that it took the job. */
@@ -43,11 +47,26 @@
         return accepted;
     }
 
+    /** What the region keeps about it; null before it has been started. */
+    public Object carrier() {
+        return carrier;
+    }
+
+    public void carrier(Object ofRegion) {
+        carrier = ofRegion;
+    }
+
     void accept() {
         accepted = true;
     }
 
-    void end() {
-        ended = true;
+    void end(Outcome how) {
+        outcome = how;
+    }
+
+    /** Whether the worker may still tell of an end: it may have the job, and was not waited for. */
+    boolean owesWord() {
+        return toldEnd == null && (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED
+                || outcome == Outcome.RESET);
     }
 }
--- a/src/main/java/ryemast/net/Transport.java
+++ b/src/main/java/ryemast/net/Transport.java
@@ -1,5 +1,8 @@
 package ryemast.net;
 
+import java.io.IOException;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.apache.mina.core.filterchain.DefaultIoFilterChainBuilder;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
@@ -15,6 +18,7 @@
 /** MINA's threads and settings: one selector serves all connections, in and out. */
 public final class Transport {
 
+    private static final Logger LOG = Logger.getLogger(Transport.class.getName());
     private static final int READ_BUFFER = 2048;
     private static final int MAX_READ_BUFFER = 16 * 1024;
 
@@ -40,8 +44,10 @@
         chain.addLast("http", new ProtocolCodecFilter(codec));
     }
 
-    /** What a peer's session does that has failed: nothing more can be said on it. */
-    public static void drop(IoSession session) {
+    /** Ends a connection on which something went wrong; a peer that went away is no news. */
+    public static void drop(IoSession session, Throwable cause) {
+        LOG.log(cause instanceof IOException ? Level.FINE : Level.WARNING, cause,
+                () -> "a connection is dropped: " + session);
         session.closeNow();
     }
 }
--- a/src/main/java/ryemast/net/http/HttpCodec.java
+++ b/src/main/java/ryemast/net/http/HttpCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -65,7 +66,7 @@
         private final IoSession session;
         private ProtocolDecoderOutput out;
         private HttpHead head;
-        private ByteArrayOutputStream body;
+        private byte[] body;
         private boolean failed;
 
         Reading(IoSession session) {
@@ -75,6 +76,7 @@
         @Override
         public void head(HttpHead next) {
             head = next;
+            body = null;
             if (form == Form.STREAM) {
                 out.write(next);
             } else if (form == Form.REQUESTS && next.lists("expect", "100-continue")) {
@@ -87,8 +89,7 @@
             if (form == Form.STREAM) {
                 out.write(part);
             } else {
-                body = body == null ? new ByteArrayOutputStream(part.length) : body;
-                body.writeBytes(part);
+                body = body == null ? part : joined(body, part);
             }
         }
 
@@ -98,10 +99,16 @@
             if (form == Form.STREAM) {
                 out.write(interim ? HttpMessage.EMPTY : END);
             } else if (!interim) {
-                out.write(new HttpMessage(head, body == null ? HttpMessage.EMPTY : body.toByteArray()));
+                out.write(new HttpMessage(head, body == null ? HttpMessage.EMPTY : body));
             }
             body = null;
         }
+
+        private static byte[] joined(byte[] one, byte[] other) {
+            var both = Arrays.copyOf(one, one.length + other.length);
+            System.arraycopy(other, 0, both, one.length, other.length);
+            return both;
+        }
     }
 
     private final class Decoder extends ProtocolDecoderAdapter {
--- /dev/null
+++ b/src/main/java/ryemast/net/region/Call.java
@@ -0,0 +1,68 @@
+package ryemast.net.region;
+
+import java.util.logging.Logger;
+import pipitladder.Dispatcher.Outcome;
+import ryemast.core.Exchange;
+import ryemast.core.RoutedTask;
+import ryemast.net.http.HttpHead;
+import ryemast.net.http.HttpMessage;
+
+/** One message to a worker; without a task it is a cancel, whose answer means nothing. */
+final class Call {
+
+    private static final Logger LOG = Logger.getLogger(Call.class.getName());
+    /** How long an answer is awaited that no routed task waits for any more. */
+    private static final long PATIENCE = 2_000_000;
+    private static final int TAKEN = 202;
+    private static final int ERROR = 500;
+
+    final HttpMessage message;
+    private final Exchange exchange;
+    private final RoutedTask task;
+    private final long startedAt;
+    private boolean written;
+
+    Call(Exchange exchange, RoutedTask task, HttpMessage message, long startedAt) {
+        this.exchange = exchange;
+        this.task = task;
+        this.message = message;
+        this.startedAt = startedAt;
+    }
+
+    /** Whether the task's answer is still to come on the connection that carries this. */
+    boolean carries(RoutedTask other) {
+        return task == other;
+    }
+
+    /** Its last byte was written: from here on the job may have run. */
+    void wasWritten() {
+        written = true;
+    }
+
+    boolean overdue(long now) {
+        return (task == null || task.ended()) && now - startedAt > PATIENCE;
+    }
+
+    /** The connection ended without an answer, or never came up. */
+    void broke() {
+        if (task != null) {
+            exchange.ended(task, written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+        }
+    }
+
+    void answered(HttpHead head) {
+        if (task == null) {
+            return;
+        }
+        int status = head.status();
+        boolean turnedAway = (status == 503 || status == 504) && "1".equals(head.header("x-turned-away"));
+        if (status == TAKEN) {
+            exchange.accepted(task);
+            return;
+        }
+        if (!turnedAway && status != ERROR) {
+            LOG.warning(task.worker() + " answered " + status + " to " + task.submission().txn());
+        }
+        exchange.ended(task, turnedAway ? Outcome.REJECTED : Outcome.ERROR);
+    }
+}
--- a/src/main/java/ryemast/net/region/RegionPool.java
+++ b/src/main/java/ryemast/net/region/RegionPool.java
@@ -1,20 +1,22 @@
 package ryemast.net.region;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.logging.Logger;
+import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
-import pipitladder.Dispatcher.Outcome;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
 import ryemast.core.Region;
@@ -46,8 +48,6 @@
     /** Idle connections by address; the one used last is taken first, so that spare ones can age. */
     private final Map<InetSocketAddress, Deque<RegionConnection>> idle = new HashMap<>();
     private final Set<RegionConnection> open = new HashSet<>();
-    /** Tasks whose answer is awaited, by the connection that carries them. */
-    private final Map<RoutedTask, RegionConnection> carried = new HashMap<>();
 
     /**
      * @param addresses     where a worker is, by its id
@@ -70,53 +70,66 @@
 
     @Override
     public void start(RoutedTask task) {
-        var address = addresses.apply(task.worker());
         var job = task.submission();
         long left = Math.max(1, (task.until() - loop.now()) / MICROS_PER_MS);
-        var head = HttpHead.request("POST", job.target()).with("Host", Addresses.text(address))
-                .with("X-Txn", job.txn()).with("X-Remaining-Ms", Long.toString(left));
-        call(address, new Call(task, new HttpMessage(head, job.body())));
+        var head = HttpHead.request("POST", job.target()).with("X-Txn", job.txn())
+                .with("X-Remaining-Ms", Long.toString(left));
+        task.carrier(call(addresses.apply(task.worker()), task, new HttpMessage(head, job.body())));
     }
 
+    /** Before the worker has answered, the connection's end gives the attempt up; after, a message does. */
     @Override
     public void giveUp(RoutedTask task) {
-        var connection = carried.remove(task);
-        if (connection != null) {
-            connection.close();
+        var carrier = (RegionConnection) task.carrier();
+        if (carrier == null) {
+            return;
+        }
+        if (carrier.call != null && carrier.call.carries(task)) {
+            carrier.close();
         } else {
-            var address = addresses.apply(task.worker());
-            var head = HttpHead.request("DELETE", "/jobs/" + task.submission().txn())
-                    .with("Host", Addresses.text(address));
-            call(address, new Call(null, new HttpMessage(head, HttpMessage.EMPTY)));
+            var head = HttpHead.request("DELETE", "/jobs/" + encoded(task.submission().txn()));
+            call(carrier.address, null, new HttpMessage(head, HttpMessage.EMPTY));
         }
     }
 
-    private void call(InetSocketAddress address, Call call) {
-        var pooled = idle.get(address);
-        var connection = pooled == null ? null : pooled.pollLast();
-        if (connection == null && open.size() >= most && !dropOldestIdle()) {
-            LOG.warning("no socket left for a call to " + Addresses.text(address));
-            call.end(Outcome.CONNECT_FAILED);
-            return;
-        }
-        if (call.task != null && connection != null) {
-            carried.put(call.task, connection);
+    /** A name as a part of a path: the names are opaque, and one with a space would split the line. */
+    static String encoded(String name) {
+        var text = new StringBuilder();
+        for (byte each : name.getBytes(StandardCharsets.ISO_8859_1)) {
+            boolean plain = each >= '0' && each <= '9' || each >= 'a' && each <= 'z'
+                    || each >= 'A' && each <= 'Z' || "-._~".indexOf(each) >= 0;
+            text.append(plain ? String.valueOf((char) each) : String.format(Locale.ROOT, "%%%02X", each));
         }
-        if (connection != null) {
+        return text.toString();
+    }
+
+    /** The connection that the call is on, or null if there was none to be had. */
+    private RegionConnection call(InetSocketAddress address, RoutedTask task, HttpMessage message) {
+        message.head().with("Host", Addresses.text(address));
+        var call = new Call(exchange, task, message, loop.now());
+        var pooled = idle.get(address);
+        if (pooled != null) {
+            var connection = pooled.pollLast();
+            if (pooled.isEmpty()) {
+                idle.remove(address);
+            }
             connection.carry(call);
-            return;
+            return connection;
         }
-        var fresh = new RegionConnection(address);
-        open.add(fresh);
-        if (call.task != null) {
-            carried.put(call.task, fresh);
+        if (open.size() >= most && !dropOldestIdle()) {
+            LOG.warning("no socket left for a call to " + Addresses.text(address));
+            call.broke();
+            return null;
         }
-        fresh.connect(call);
+        var connection = new RegionConnection(address);
+        open.add(connection);
+        connection.connect(call);
+        return connection;
     }
 
     /** Guards the limit on sockets: an idle connection makes room. */
     private boolean dropOldestIdle() {
-        var oldest = idle.values().stream().filter(each -> !each.isEmpty()).map(Deque::peekFirst)
+        var oldest = idle.values().stream().map(Deque::peekFirst)
                 .min(Comparator.comparingLong(connection -> connection.idleSince));
         oldest.ifPresent(RegionConnection::close);
         return oldest.isPresent();
@@ -125,57 +138,13 @@
     private void sweep() {
         for (var connection : new ArrayList<>(open)) {
             if (connection.call == null && loop.now() - connection.idleSince > idleLimit
-                    || connection.call != null && connection.call.overdue()) {
+                    || connection.call != null && connection.call.overdue(loop.now())) {
                 connection.close();
             }
         }
         loop.at(loop.now() + SWEEP, this::sweep);
     }
 
-    /** One message to a worker and its answer; without a task it is a cancel, whose answer means nothing. */
-    private final class Call {
-        /** How long an answer is awaited that no routed task waits for any more. */
-        private static final long PATIENCE = 2_000_000;
-
-        private final RoutedTask task;
-        private final HttpMessage message;
-        private final long startedAt = loop.now();
-        private boolean written;
-
-        Call(RoutedTask task, HttpMessage message) {
-            this.task = task;
-            this.message = message;
-        }
-
-        boolean overdue() {
-            return (task == null || task.ended()) && loop.now() - startedAt > PATIENCE;
-        }
-
-        void end(Outcome outcome) {
-            if (task != null) {
-                carried.remove(task);
-                exchange.ended(task, outcome);
-            }
-        }
-
-        void answered(HttpHead head) {
-            if (task == null) {
-                return;
-            }
-            carried.remove(task);
-            int status = head.status();
-            boolean turnedAway = (status == 503 || status == 504) && "1".equals(head.header("x-turned-away"));
-            if (status == 202) {
-                exchange.accepted(task);
-            } else {
-                if (!turnedAway && status != 500) {
-                    LOG.warning(task.worker() + " answered " + status + " to " + task.submission().txn());
-                }
-                exchange.ended(task, turnedAway ? Outcome.REJECTED : Outcome.ERROR);
-            }
-        }
-    }
-
     private final class RegionConnection {
         private final InetSocketAddress address;
         private IoSession session;
@@ -190,12 +159,12 @@
         void connect(Call first) {
             call = first;
             var future = connector.connect(address);
-            var limit = loop.at(loop.now() + connectLimit, () -> {
+            var endOfLimit = loop.at(loop.now() + connectLimit, () -> {
                 future.cancel();
                 close();
             });
             future.addListener(done -> loop.post(() -> {
-                limit.run();
+                endOfLimit.run();
                 if (!future.isConnected()) {
                     close();
                     return;
@@ -207,6 +176,7 @@
                 } else if (session.isConnected()) {
                     carry(call);
                 } else {
+                    // It ended before the attribute was there for the handler to find.
                     close();
                 }
             }));
@@ -215,8 +185,8 @@
         void carry(Call next) {
             call = next;
             session.write(next.message).addListener(future -> {
-                if (((org.apache.mina.core.future.WriteFuture) future).isWritten()) {
-                    loop.post(() -> next.written = true);
+                if (((WriteFuture) future).isWritten()) {
+                    loop.post(next::wasWritten);
                 }
             });
         }
@@ -255,7 +225,7 @@
                 session.closeNow();
             }
             if (call != null) {
-                call.end(call.written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+                call.broke();
             }
         }
     }
@@ -277,7 +247,7 @@
 
         @Override
         public void exceptionCaught(IoSession session, Throwable cause) {
-            Transport.drop(session);
+            Transport.drop(session, cause);
         }
 
         private RegionConnection of(IoSession session) {
--- a/src/main/java/ryemast/net/servicetable/TableWatch.java
+++ b/src/main/java/ryemast/net/servicetable/TableWatch.java
@@ -29,6 +29,7 @@
     private static final Logger LOG = Logger.getLogger(TableWatch.class.getName());
     /** A watch speaks every 2 s; this long without a word, several beats are missing. */
     private static final long SILENCE = 6_500_000;
+    private static final long CONNECT_LIMIT_MS = 5_000;
     /** Guards the memory against a line without end: some thousand workers fit. */
     private static final int MAX_LINE = 1 << 20;
 
@@ -48,6 +49,7 @@
         this.discovery = discovery;
         this.reader = reader;
         connector = transport.connector(HttpCodec.stream(), new Handler());
+        connector.setConnectTimeoutMillis(CONNECT_LIMIT_MS);
     }
 
     /** The list as it was last known, before discovery has been asked. */
@@ -90,8 +92,9 @@
 
         void open() {
             heard();
-            connector.connect(discovery).addListener(future -> loop.post(() -> {
-                if (!((org.apache.mina.core.future.ConnectFuture) future).isConnected()) {
+            var future = connector.connect(discovery);
+            future.addListener(done -> loop.post(() -> {
+                if (!future.isConnected()) {
                     fail("cannot connect");
                     return;
                 }
@@ -101,6 +104,11 @@
                     close();
                     return;
                 }
+                if (!session.isConnected()) {
+                    // It ended before the attribute was there for the handler to find.
+                    fail("the connection ended");
+                    return;
+                }
                 var head = HttpHead.request("GET", "/catalog/members?watch=1&from=" + version)
                         .with("Host", Addresses.text(discovery)).with("Accept", "application/json");
                 session.write(new HttpMessage(head, HttpMessage.EMPTY));
@@ -187,7 +195,7 @@
 
         @Override
         public void exceptionCaught(IoSession session, Throwable cause) {
-            Transport.drop(session);
+            Transport.drop(session, cause);
         }
 
         private Watch of(IoSession session) {
--- a/src/main/java/ryemast/net/terminal/JobReader.java
+++ b/src/main/java/ryemast/net/terminal/JobReader.java
@@ -1,12 +1,13 @@
 package ryemast.net.terminal;
 
 import java.util.List;
+import java.util.Locale;
 import ryemast.core.Submission;
 import ryemast.net.http.HttpException;
 import ryemast.net.http.HttpMessage;
 
 /** Reads a client's job from its headers; a message names the faulty one. */
-final class JobReader {
+public final class JobReader {
 
     private static final long MICROS_PER_MS = 1000;
     private static final long LONGEST_MS = 24L * 3600 * 1000;
@@ -14,7 +15,8 @@
     private final List<String> lanes;
     private final List<String> orgs;
 
-    JobReader(List<String> lanes, List<String> orgs) {
+    /** The names that headers may hold, in the module's order. */
+    public JobReader(List<String> lanes, List<String> orgs) {
         this.lanes = lanes;
         this.orgs = orgs;
     }
@@ -47,7 +49,7 @@
     }
 
     private static String need(HttpMessage request, String name) throws HttpException {
-        var value = request.head().header(name.toLowerCase(java.util.Locale.ROOT));
+        var value = request.head().header(name.toLowerCase(Locale.ROOT));
         if (value == null || value.isEmpty()) {
             throw new HttpException(400, "header " + name + " is missing");
         }
--- /dev/null
+++ b/src/test/java/ryemast/it/Peer.java
@@ -0,0 +1,77 @@
+package ryemast.it;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.SocketException;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** A server that a test scripts: a worker, or discovery. */
+final class Peer implements Closeable {
+
+    /** What to do with a message; a script that closes the wire ends the connection. */
+    interface Script {
+        void play(Wire wire, Wire.Message message) throws Exception;
+    }
+
+    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    /** Everything that came, in order. */
+    final Queue<Wire.Message> received = new ConcurrentLinkedQueue<>();
+    final Queue<Wire> wires = new ConcurrentLinkedQueue<>();
+    volatile Script script;
+
+    Peer(Script script) throws IOException {
+        this.script = script;
+        run(() -> {
+            while (true) {
+                var wire = new Wire(listener.accept());
+                wires.add(wire);
+                run(() -> serve(wire));
+            }
+        });
+    }
+
+    private void serve(Wire wire) throws Exception {
+        for (var message = wire.read(); message != null; message = wire.read()) {
+            received.add(message);
+            script.play(wire, message);
+        }
+        wire.close();
+    }
+
+    private interface Step {
+        void run() throws Exception;
+    }
+
+    private static void run(Step step) {
+        var thread = new Thread(() -> {
+            try {
+                step.run();
+            } catch (SocketException | InterruptedException e) {
+                // The test is over, or the program under test ended the connection.
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    long count(String start) {
+        return received.stream().filter(message -> message.start().startsWith(start)).count();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (var wire : wires) {
+            wire.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ryemast/it/Platform.java
@@ -0,0 +1,225 @@
+package ryemast.it;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Queue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+
+/** The packaged program between scripted workers, a scripted discovery and clients. */
+final class Platform implements Closeable {
+
+    private static final long PATIENCE_S = 20;
+    private static final String SETTINGS = """
+            {"resolution":5000,"registry_mode":"subscribe","fleet_size":1,"models":["m"],"areas":["z"],
+             "allowed":{"max_attempts":5,"second_copies":true,"cancelling":true,"conn_idle":5000000,
+                        "connect_timeout":250000,"max_open":MAX_OPEN,"retry_after":true,
+                        "max_retry_after":2000000},
+             "specifics":{"tells_start":true,"progress":2000000},
+             "obligations":{"ask_every":400000,"cold":1000000,"start_capacity":0.5,"fall_multiple":4,
+                            "fall":1000000,"grace_to_answer":20000},
+             "parties":[{"name":"acme","quota_per_s":1000}],
+             "categories":[{"name":"load","effect":"free","on_time":400000,"deadline":5000000},
+                           {"name":"sticker","effect":"single_shot","on_time":400000,"deadline":5000000}]}
+            """;
+
+    final Peer one = new Peer(Platform::take);
+    final Peer two = new Peer(Platform::take);
+    final Peer discovery = new Peer(this::table);
+    final Queue<String> log = new ConcurrentLinkedQueue<>();
+    private final Path folder = Files.createTempDirectory("ryemast-it");
+    private final Process program;
+    private volatile String states;
+    private volatile boolean tableFails;
+    private int jobs;
+    InetSocketAddress address;
+
+    Platform() throws Exception {
+        this("1000", 1024, "Ready Ready");
+    }
+
+    /** {@code firstStates}: what the list says of the first and the second worker. */
+    Platform(String maxOpen, int sockets, String firstStates) throws Exception {
+        states = firstStates;
+        var config = "{\"name\":\"it\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
+                + "\",\"seed\":\"5\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + table(40, true)
+                + ",\"settings\":" + SETTINGS.replace("MAX_OPEN", maxOpen) + "}";
+        program = start(config);
+        until(() -> address != null);
+        until(() -> health().equals("200"));
+        until(() -> discovery.count("GET") > 0);
+    }
+
+    /** Starts the packaged program as deploy/balancer.toml does. */
+    Process start(String config) throws IOException {
+        var run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        var command = run.substring("run = \"".length(), run.lastIndexOf('"'));
+        var builder = new ProcessBuilder("/bin/sh", "-c", command);
+        builder.environment().put("BALANCER_CONFIG",
+                Files.writeString(folder.resolve("config.json"), config).toString());
+        var process = builder.redirectErrorStream(true).start();
+        var reader = new Thread(() -> follow(process.inputReader()));
+        reader.setDaemon(true);
+        reader.start();
+        return process;
+    }
+
+    private void follow(BufferedReader output) {
+        output.lines().forEach(line -> {
+            log.add(line);
+            int at = line.indexOf("listens at 127.0.0.1:");
+            if (at > 0) {
+                var port = line.substring(line.lastIndexOf(':') + 1);
+                address = new InetSocketAddress("127.0.0.1", Integer.parseInt(port));
+            }
+        });
+    }
+
+    /** Waits for a condition, never for a time. */
+    static void until(Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!condition.call()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("waited in vain");
+            }
+            Thread.sleep(2);
+        }
+    }
+
+    private static void take(Wire wire, Wire.Message message) throws IOException {
+        wire.send("HTTP/1.1 202 Accepted", "", "");
+    }
+
+    private String table(int version, boolean full) {
+        var state = states.split(" ");
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
+                + entry("s-1", one, state[0]) + "," + entry("s-2", two, state[1]) + "]}";
+    }
+
+    private static String entry(String id, Peer peer, String state) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + peer.address() + "\",\"zone\":\"z\",\"kind\":\"m\","
+                + "\"cell\":0,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
+    }
+
+    private void table(Wire wire, Wire.Message message) throws IOException, InterruptedException {
+        if (tableFails) {
+            wire.send("HTTP/1.1 503 Service Unavailable", "", "");
+            return;
+        }
+        wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        tell(wire, table(41, true));
+        while (true) {
+            Thread.sleep(500);
+            tell(wire, "");
+        }
+    }
+
+    private static synchronized void tell(Wire wire, String line) throws IOException {
+        wire.send(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+    }
+
+    /** Tells all watches that the states are now these, for the first and the second worker. */
+    void list(String newStates) throws IOException {
+        states = newStates;
+        broadcast(table(42, false));
+    }
+
+    /** Ends all watches; until further notice a new call fails, too. */
+    void failTable() throws IOException {
+        tableFails = true;
+        for (var wire : discovery.wires) {
+            wire.close();
+        }
+    }
+
+    void repairTable() {
+        tableFails = false;
+    }
+
+    /** A line on every watch that is still open. */
+    void broadcast(String line) throws IOException {
+        for (var wire : discovery.wires) {
+            try {
+                tell(wire, line);
+            } catch (SocketException e) {
+                discovery.wires.remove(wire);
+            }
+        }
+    }
+
+    /** Sends a job on a connection; the returned text is its X-Txn. */
+    String job(Wire wire, String lane, long remainingMs) throws IOException {
+        var txn = "txn-" + ++jobs;
+        wire.send("POST /api/key-" + jobs + "?q=1 HTTP/1.1", "X-Txn: " + txn + "\r\nX-Lane: " + lane
+                + "\r\nX-Org: acme\r\nX-Remaining-Ms: " + remainingMs + "\r\nX-Estimate: 20000\r\n",
+                "body of " + txn);
+        return txn;
+    }
+
+    Wire client() throws IOException {
+        return Wire.to(address);
+    }
+
+    String health() throws IOException {
+        try (var wire = client().send("GET /_health HTTP/1.1\r\n\r\n")) {
+            return wire.read().status();
+        }
+    }
+
+    /** The status of the answer to a worker's call-back. */
+    String callBack(String txn, Peer from, String state, String more) throws IOException {
+        var body = "{\"id\":\"" + txn + "\",\"from\":\"" + (from == one ? "s-1" : "s-2") + "\",\"state\":\""
+                + state + "\"" + more + "}";
+        try (var wire = client().send("POST /v1/job-events HTTP/1.1", "", body)) {
+            return wire.read().status();
+        }
+    }
+
+    /** Ends the job well wherever it is. */
+    void done(String txn, String result) throws Exception {
+        callBack(txn, holder(txn), "done", ",\"result\":\"" + result + "\"");
+    }
+
+    /** The worker that got the job, once one has. */
+    Peer holder(String txn) throws Exception {
+        until(() -> sends(one, txn) + sends(two, txn) > 0);
+        return sends(one, txn) > 0 ? one : two;
+    }
+
+    static long sends(Peer peer, String txn) {
+        return peer.received.stream().filter(message -> message.start().startsWith("POST")
+                && txn.equals(message.headers().get("x-txn"))).count();
+    }
+
+    static long cancels(Peer peer, String txn) {
+        return peer.count("DELETE /jobs/" + txn + " ");
+    }
+
+    Process program() {
+        return program;
+    }
+
+    /** A figure of the kernel's about the program, in its own unit. */
+    long kernel(String name) throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + program.pid() + "/status")).stream()
+                .filter(line -> line.startsWith(name + ":")).findFirst()
+                .map(line -> Long.parseLong(line.replaceAll("[^0-9]", ""))).orElseThrow();
+    }
+
+    @Override
+    public void close() throws IOException {
+        program.destroyForcibly();
+        one.close();
+        two.close();
+        discovery.close();
+        Files.deleteIfExists(folder.resolve("config.json"));
+        Files.deleteIfExists(folder);
+    }
+}
