--- a/src/main/java/pipitladder/benchlink/BenchLinkCommand.java
+++ b/src/main/java/pipitladder/benchlink/BenchLinkCommand.java
@@ -1,7 +1,7 @@
 package pipitladder.benchlink;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import java.io.BufferedOutputStream;
+import com.google.gson.stream.MalformedJsonException;
+import java.io.EOFException;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
@@ -16,14 +16,13 @@
 
     /** Answers until the input ends; returns the exit code. */
     public static int run() {
-        var out = new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16);
-        MessageReader reader = null;
+        var out = new FileOutputStream(FileDescriptor.out);
+        var reader = new MessageReader(System.in);
         try {
-            reader = new MessageReader(System.in);
             new BenchLink(reader, new ReplyWriter(out)).run();
             return 0;
-        } catch (JsonProcessingException e) {
-            return complain(reader.line(), "not valid JSON: " + e.getOriginalMessage());
+        } catch (MalformedJsonException | EOFException | IllegalStateException e) {
+            return complain(reader.line(), "not valid JSON: " + e.getMessage());
         } catch (MalformedInputException e) {
             return complain(reader.line(), e.getMessage());
         } catch (IOException e) {
--- a/src/main/java/pipitladder/benchlink/MessageReader.java
+++ b/src/main/java/pipitladder/benchlink/MessageReader.java
@@ -1,10 +1,13 @@
 package pipitladder.benchlink;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -13,35 +16,48 @@
 import pipitladder.Dispatcher.WorkerInfo;
 import pipitladder.Dispatcher.WorkerState;
 
-/** Reads the wire's messages one by one; fields it does not know are passed over. */
+/** Reads the wire's messages one by one, a line each; fields it does not know are passed over. */
 final class MessageReader {
 
-    private final JsonParser json;
+    private final BufferedReader lines;
     private final Message message = new Message();
+    private int line;
+    private JsonReader json;
 
-    MessageReader(InputStream in) throws IOException {
-        json = new JsonFactory().createParser(in);
+    MessageReader(InputStream in) {
+        lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
     }
 
     int line() {
-        return json.currentLocation().getLineNr();
+        return line;
     }
 
     /** The next message, or null at the end of the input. */
     Message next() throws IOException {
-        var token = json.nextToken();
-        if (token == null) {
+        String text;
+        do {
+            text = lines.readLine();
+            line++;
+        } while (text != null && text.isBlank());
+        if (text == null) {
             return null;
         }
-        if (token != JsonToken.START_OBJECT) {
-            throw new MalformedInputException("a message must be a JSON object");
-        }
+        json = new JsonReader(new StringReader(text));
+        expect(JsonToken.BEGIN_OBJECT, "a message", "a JSON object");
         message.clear();
-        for (var field = json.nextFieldName(); field != null; field = json.nextFieldName()) {
-            if (json.nextToken() != JsonToken.VALUE_NULL) {
+        json.beginObject();
+        while (json.hasNext()) {
+            var field = json.nextName();
+            if (json.peek() == JsonToken.NULL) {
+                json.nextNull();
+            } else {
                 readField(field);
             }
         }
+        json.endObject();
+        if (json.peek() != JsonToken.END_DOCUMENT) {
+            throw new MalformedInputException("more than one message on a line");
+        }
         if (message.kind == null) {
             throw new MalformedInputException("a message without kind");
         }
@@ -75,17 +91,19 @@
             case "gauge" -> message.report = numbers(field);
             case "env" -> message.settings = object(field);
             case "entries" -> message.workers = workers(field);
-            default -> json.skipChildren();
+            default -> json.skipValue();
         }
     }
 
     private List<WorkerInfo> workers(String field) throws IOException {
-        expect(JsonToken.START_ARRAY, field, "an array");
+        expect(JsonToken.BEGIN_ARRAY, field, "an array");
         var all = new ArrayList<WorkerInfo>();
-        while (json.nextToken() != JsonToken.END_ARRAY) {
-            expect(JsonToken.START_OBJECT, field, "an array of objects");
+        json.beginArray();
+        while (json.hasNext()) {
+            expect(JsonToken.BEGIN_OBJECT, field, "an array of objects");
             all.add(worker());
         }
+        json.endArray();
         return all;
     }
 
@@ -97,8 +115,11 @@
         int cell = 0;
         double weight = 1;
         long startedAt = 0;
-        for (var field = json.nextFieldName(); field != null; field = json.nextFieldName()) {
-            if (json.nextToken() == JsonToken.VALUE_NULL) {
+        json.beginObject();
+        while (json.hasNext()) {
+            var field = json.nextName();
+            if (json.peek() == JsonToken.NULL) {
+                json.nextNull();
                 continue;
             }
             switch (field) {
@@ -109,9 +130,10 @@
                 case "block" -> cell = (int) integer(field);
                 case "weight" -> weight = number(field);
                 case "last_start" -> startedAt = integer(field);
-                default -> json.skipChildren();
+                default -> json.skipValue();
             }
         }
+        json.endObject();
         if (id == null || state == null) {
             throw new MalformedInputException("an entry without " + (id == null ? "runner" : "condition"));
         }
@@ -128,74 +150,85 @@
     }
 
     private Map<String, Object> object(String field) throws IOException {
-        expect(JsonToken.START_OBJECT, field, "an object");
+        expect(JsonToken.BEGIN_OBJECT, field, "an object");
         var map = new LinkedHashMap<String, Object>();
-        for (var name = json.nextFieldName(); name != null; name = json.nextFieldName()) {
-            json.nextToken();
+        json.beginObject();
+        while (json.hasNext()) {
+            var name = json.nextName();
             map.put(name, value(name));
         }
+        json.endObject();
         return map;
     }
 
     private Object value(String field) throws IOException {
-        return switch (json.currentToken()) {
-            case START_OBJECT -> object(field);
-            case START_ARRAY -> {
+        return switch (json.peek()) {
+            case BEGIN_OBJECT -> object(field);
+            case BEGIN_ARRAY -> {
                 var list = new ArrayList<>();
-                while (json.nextToken() != JsonToken.END_ARRAY) {
+                json.beginArray();
+                while (json.hasNext()) {
                     list.add(value(field));
                 }
+                json.endArray();
                 yield list;
             }
-            case VALUE_STRING -> json.getText();
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> json.getDoubleValue();
-            case VALUE_TRUE -> true;
-            case VALUE_FALSE -> false;
-            default -> null;
+            case STRING -> json.nextString();
+            case NUMBER -> json.nextDouble();
+            case BOOLEAN -> json.nextBoolean();
+            default -> {
+                json.skipValue();
+                yield null;
+            }
         };
     }
 
     private double[] numbers(String field) throws IOException {
-        expect(JsonToken.START_ARRAY, field, "an array");
+        expect(JsonToken.BEGIN_ARRAY, field, "an array");
         var found = new double[4];
         int count = 0;
-        while (json.nextToken() != JsonToken.END_ARRAY) {
+        json.beginArray();
+        while (json.hasNext()) {
             if (count == found.length) {
                 found = Arrays.copyOf(found, 2 * count);
             }
-            found[count++] = json.currentToken() == JsonToken.VALUE_NULL ? Double.NaN : number(field);
+            if (json.peek() == JsonToken.NULL) {
+                json.nextNull();
+                found[count++] = Double.NaN;
+            } else {
+                found[count++] = number(field);
+            }
         }
+        json.endArray();
         return Arrays.copyOf(found, count);
     }
 
     private long integer(String field) throws IOException {
-        if (json.currentToken() != JsonToken.VALUE_NUMBER_INT) {
-            return (long) number(field);
+        expect(JsonToken.NUMBER, field, "a number");
+        try {
+            return json.nextLong();
+        } catch (NumberFormatException e) {
+            return (long) json.nextDouble();
         }
-        return json.getLongValue();
     }
 
     private double number(String field) throws IOException {
-        if (!json.currentToken().isNumeric()) {
-            throw new MalformedInputException(field + " must be a number");
-        }
-        return json.getDoubleValue();
+        expect(JsonToken.NUMBER, field, "a number");
+        return json.nextDouble();
     }
 
     private boolean bool(String field) throws IOException {
-        if (!json.currentToken().isBoolean()) {
-            throw new MalformedInputException(field + " must be true or false");
-        }
-        return json.getBooleanValue();
+        expect(JsonToken.BOOLEAN, field, "true or false");
+        return json.nextBoolean();
     }
 
     private String text(String field) throws IOException {
-        expect(JsonToken.VALUE_STRING, field, "text");
-        return json.getText();
+        expect(JsonToken.STRING, field, "text");
+        return json.nextString();
     }
 
-    private void expect(JsonToken token, String field, String what) throws MalformedInputException {
-        if (json.currentToken() != token) {
+    private void expect(JsonToken token, String field, String what) throws IOException {
+        if (json.peek() != token) {
             throw new MalformedInputException(field + " must be " + what);
         }
     }
