Rehearse one job before the health check says 200; drain spares young connections

Seen: a probe with one scripted worker on one core: first job at its worker after 64, 65, 65 ms, later ones 14 ms. Cause: classes and lambdas on the way are loaded by the first job. A class archive would save part of the same 50 ms at the price of a step in the build; not taken.

--- a/src/main/java/ryemast/Service.java
+++ b/src/main/java/ryemast/Service.java
@@ -26,6 +26,8 @@
     private static final int CALL_BACK_SHARE = 8;
     /** After SIGTERM, clients still open connections and use the ones they have for a while. */
     private static final long CLIENTS_COME = 450_000;
+    /** A connection this young may have been opened for a call-back that is on its way. */
+    private static final long REST = 100_000;
     private static final long LEAST_DRAIN = 700_000;
     private static final long DRAIN_CHECK = 20_000;
 
@@ -33,6 +35,7 @@
     private final Clock clock = new Clock();
     private final Loop loop;
     private final Exchange exchange;
+    private final Transport transport;
     private final TerminalServer terminals;
     private final TableWatch table;
     private long drainingSince;
@@ -48,7 +51,7 @@
         int jobs = Math.min(config.maxOpen(), terminalSockets - forCallBacks);
         exchange = new Exchange(loop, new Brain(settings, config.seed()), jobs,
                 settings.limits().maxAttempts(), config.grace());
-        var transport = new Transport();
+        transport = new Transport();
         table = new TableWatch(loop, exchange, transport, config.discovery(), config.tableReader());
         var pool = new RegionPool(loop, exchange, transport, table::address,
                 config.connectLimit(), config.connIdle(), regions);
@@ -63,7 +66,7 @@
         Signal.handle(new Signal("INT"), signal -> loop.post(this::drain));
         loop.post(() -> table.begin(config.known()));
         var address = terminals.listen(config.listen());
-        loop.post(terminals::ready);
+        loop.post(() -> new Rehearsal(config, loop, transport, address, terminals::ready));
         LOG.info(config.name() + " listens at " + Addresses.text(address));
         loop.run();
         terminals.stop();
@@ -82,7 +85,7 @@
     private void endWhenQuiet() {
         long since = loop.now() - drainingSince;
         if (since >= CLIENTS_COME) {
-            terminals.closeResting();
+            terminals.closeResting(REST);
         }
         if (since >= LEAST_DRAIN && exchange.open() == 0 && terminals.isQuiet()) {
             LOG.info("ended: all is answered");
--- a/src/main/java/ryemast/core/Loop.java
+++ b/src/main/java/ryemast/core/Loop.java
@@ -10,7 +10,7 @@
 
 /**
  * The one thread that owns all state. A turn takes one reading of the clock, gathers everything that is
- * ready (what other threads have posted, then due timers), and then lets the exchange settle it in one go.
+ * ready (what other threads have posted, then due timers), and then lets the exchanges settle it in one go.
  */
 public final class Loop {
 
@@ -19,7 +19,7 @@
     private final LinkedBlockingQueue<Runnable> inbound = new LinkedBlockingQueue<>();
     private final LongSupplier clock;
     private final TickWheel wheel;
-    private Settler settler = () -> false;
+    private final List<Settler> settlers = new ArrayList<>();
     private long now;
     private volatile boolean ended;
 
@@ -35,8 +35,8 @@
         wheel = new TickWheel(tickLength, now);
     }
 
-    void settleWith(Settler each) {
-        settler = each;
+    void settleWith(Settler settler) {
+        settlers.add(settler);
     }
 
     /** Hands something to the loop; the only call that other threads may make, beside {@link #end}. */
@@ -82,12 +82,15 @@
         now = Math.max(now, clock.getAsLong());
         carryOut(ready);
         carryOut(wheel.advance(now));
-        try {
-            return settler.settle();
-        } catch (RuntimeException | StackOverflowError e) {
-            LOG.log(Level.SEVERE, "a turn failed", e);
-            return false;
+        boolean more = false;
+        for (var settler : settlers) {
+            try {
+                more |= settler.settle();
+            } catch (RuntimeException | StackOverflowError e) {
+                LOG.log(Level.SEVERE, "a turn failed", e);
+            }
         }
+        return more;
     }
 
     /** Guards the loop against a handler's bug: it costs that one step, not the program. */
--- a/src/main/java/ryemast/net/region/Call.java
+++ b/src/main/java/ryemast/net/region/Call.java
@@ -60,7 +60,7 @@
             exchange.accepted(task);
             return;
         }
-        if (!turnedAway && status != ERROR) {
+        if (!turnedAway && status != ERROR && !task.ended()) {
             LOG.warning(task.worker() + " answered " + status + " to " + task.submission().txn());
         }
         exchange.ended(task, turnedAway ? Outcome.REJECTED : Outcome.ERROR);
--- a/src/main/java/ryemast/net/region/RegionPool.java
+++ b/src/main/java/ryemast/net/region/RegionPool.java
@@ -48,6 +48,7 @@
     /** Idle connections by address; the one used last is taken first, so that spare ones can age. */
     private final Map<InetSocketAddress, Deque<RegionConnection>> idle = new HashMap<>();
     private final Set<RegionConnection> open = new HashSet<>();
+    private boolean sweeping;
 
     /**
      * @param addresses     where a worker is, by its id
@@ -65,7 +66,6 @@
         this.idleLimit = connIdle * 3 / 4;
         this.most = most;
         connector = transport.connector(HttpCodec.responses(MAX_BODY), new Handler());
-        loop.at(loop.now() + SWEEP, this::sweep);
     }
 
     @Override
@@ -122,6 +122,10 @@
             return null;
         }
         var connection = new RegionConnection(address);
+        if (!sweeping) {
+            sweeping = true;
+            loop.at(loop.now() + SWEEP, this::sweep);
+        }
         open.add(connection);
         connection.connect(call);
         return connection;
@@ -142,7 +146,10 @@
                 connection.close();
             }
         }
-        loop.at(loop.now() + SWEEP, this::sweep);
+        sweeping = !open.isEmpty();
+        if (sweeping) {
+            loop.at(loop.now() + SWEEP, this::sweep);
+        }
     }
 
     private final class RegionConnection {
--- a/src/main/java/ryemast/net/terminal/TerminalServer.java
+++ b/src/main/java/ryemast/net/terminal/TerminalServer.java
@@ -86,9 +86,13 @@
         return writing == 0 && open.isEmpty();
     }
 
-    /** Ends the connections that are between two requests. */
-    public void closeResting() {
-        new ArrayList<>(resting).forEach(TerminalConnection::close);
+    /** Ends the connections that have been between two requests for so long, in microseconds. */
+    public void closeResting(long restedFor) {
+        for (var each : new ArrayList<>(resting)) {
+            if (loop.now() - each.restingSince() >= restedFor) {
+                each.close();
+            }
+        }
     }
 
     public void stop() {
@@ -108,11 +112,7 @@
     }
 
     private void sweep() {
-        for (var each : new ArrayList<>(resting)) {
-            if (loop.now() - each.restingSince() > IDLE_LIMIT) {
-                each.close();
-            }
-        }
+        closeResting(IDLE_LIMIT);
         loop.at(loop.now() + SWEEP, this::sweep);
     }
 
