One handler for all connections; the backstop lets the module answer first after a stall

Found by reading: Exchange.submit set the backstop for the same turn in which, after a stall of over 20 ms, the deadline itself is first seen; the client then got 'failed' where the module would have refused. The backstop now waits a turn; ExchangeTest.afterAStallTheModulesAnswerStillComesFirst shows it.

--- a/src/main/java/ryemast/Service.java
+++ b/src/main/java/ryemast/Service.java
@@ -29,10 +29,11 @@
     /** A connection this young may have been opened for a call-back that is on its way. */
     private static final long REST = 100_000;
     private static final long LEAST_DRAIN = 700_000;
+    /** Guards against a rehearsal that fails: clients are let in without one. */
+    private static final long LONGEST_REHEARSAL = 2_000_000;
     private static final long DRAIN_CHECK = 20_000;
 
     private final Config config;
-    private final Clock clock = new Clock();
     private final Loop loop;
     private final Exchange exchange;
     private final Transport transport;
@@ -43,7 +44,7 @@
     Service(Config config) {
         this.config = config;
         var settings = config.settings();
-        loop = new Loop(clock::now, config.tick());
+        loop = new Loop(new Clock()::now, config.tick());
         int sockets = Math.max(2 * REGIONS_SHARE, config.sockets() - RESERVED_SOCKETS);
         int regions = sockets / REGIONS_SHARE;
         int terminalSockets = sockets - regions;
@@ -55,7 +56,7 @@
         table = new TableWatch(loop, exchange, transport, config.discovery(), config.tableReader());
         var pool = new RegionPool(loop, exchange, transport, table::address,
                 config.connectLimit(), config.connIdle(), regions);
-        terminals = new TerminalServer(loop, exchange, transport, clock,
+        terminals = new TerminalServer(loop, exchange, transport,
                 new JobReader(config.lanes(), config.orgs()), terminalSockets);
         exchange.connect(pool, table);
     }
@@ -66,7 +67,10 @@
         Signal.handle(new Signal("INT"), signal -> loop.post(this::drain));
         loop.post(() -> table.begin(config.known()));
         var address = terminals.listen(config.listen());
-        loop.post(() -> new Rehearsal(config, loop, transport, address, terminals::ready));
+        loop.post(() -> {
+            loop.at(loop.now() + LONGEST_REHEARSAL, terminals::ready);
+            new Rehearsal(config, loop, transport, address, terminals::ready);
+        });
         LOG.info(config.name() + " listens at " + Addresses.text(address));
         loop.run();
         terminals.stop();
--- a/src/main/java/ryemast/core/Exchange.java
+++ b/src/main/java/ryemast/core/Exchange.java
@@ -92,7 +92,9 @@
         open++;
         byTxn.put(submission.txn(), transaction);
         byNumber.put(transaction.number, transaction);
-        transaction.backstop = loop.at(submission.deadline() + grace, () -> overdue(transaction));
+        // A turn later, as in this one the module may hear of the deadline for the first time, after a stall.
+        transaction.backstop = loop.at(submission.deadline() + grace,
+                () -> loop.post(() -> overdue(transaction)));
         gathered.add(new Request(transaction.number, submission.jobClass(), submission.tenant(),
                 submission.slots(), submission.memory(), submission.costHint(),
                 Math.max(0, submission.deadline() - loop.now())));
--- a/src/main/java/ryemast/core/Loop.java
+++ b/src/main/java/ryemast/core/Loop.java
@@ -39,7 +39,7 @@
         settlers.add(settler);
     }
 
-    /** Hands something to the loop; the only call that other threads may make, beside {@link #end}. */
+    /** Hands something to the loop; other threads may call this, {@link #clock} and {@link #end}. */
     public void post(Runnable step) {
         inbound.add(step);
     }
@@ -49,6 +49,11 @@
         return now;
     }
 
+    /** The clock itself; for other threads, to say when something came. */
+    public long clock() {
+        return clock.getAsLong();
+    }
+
     /** Runs something in the first turn at or after a time; the returned step takes that back. */
     public Runnable at(long dueAt, Runnable due) {
         return wheel.set(dueAt, due)::cancel;
--- a/src/main/java/ryemast/net/Transport.java
+++ b/src/main/java/ryemast/net/Transport.java
@@ -1,13 +1,8 @@
 package ryemast.net;
 
-import java.io.IOException;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import org.apache.mina.core.filterchain.DefaultIoFilterChainBuilder;
-import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.service.SimpleIoProcessorPool;
-import org.apache.mina.core.session.IoSession;
 import org.apache.mina.filter.codec.ProtocolCodecFilter;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioProcessor;
@@ -18,7 +13,6 @@
 /** MINA's threads and settings: one selector serves all connections, in and out. */
 public final class Transport {
 
-    private static final Logger LOG = Logger.getLogger(Transport.class.getName());
     private static final int READ_BUFFER = 2048;
     private static final int MAX_READ_BUFFER = 16 * 1024;
 
@@ -29,7 +23,7 @@
     }
 
     /** A connector of its own for each kind of peer, as each speaks in its own form. */
-    public NioSocketConnector connector(HttpCodec codec, IoHandlerAdapter handler) {
+    public NioSocketConnector connector(HttpCodec codec, LinkHandler handler) {
         var connector = new NioSocketConnector(processor);
         setUp(connector.getSessionConfig(), connector.getFilterChain(), codec);
         connector.setHandler(handler);
@@ -43,11 +37,4 @@
         config.setMaxReadBufferSize(MAX_READ_BUFFER);
         chain.addLast("http", new ProtocolCodecFilter(codec));
     }
-
-    /** Ends a connection on which something went wrong; a peer that went away is no news. */
-    public static void drop(IoSession session, Throwable cause) {
-        LOG.log(cause instanceof IOException ? Level.FINE : Level.WARNING, cause,
-                () -> "a connection is dropped: " + session);
-        session.closeNow();
-    }
 }
--- a/src/main/java/ryemast/net/region/RegionPool.java
+++ b/src/main/java/ryemast/net/region/RegionPool.java
@@ -14,7 +14,6 @@
 import java.util.function.Function;
 import java.util.logging.Logger;
 import org.apache.mina.core.future.WriteFuture;
-import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import ryemast.core.Exchange;
@@ -22,6 +21,8 @@
 import ryemast.core.Region;
 import ryemast.core.RoutedTask;
 import ryemast.net.Addresses;
+import ryemast.net.Link;
+import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
 import ryemast.net.http.HttpCodec;
 import ryemast.net.http.HttpHead;
@@ -65,7 +66,7 @@
         // Well before the worker's own limit: a call that crosses its close would end as a reset.
         this.idleLimit = connIdle * 3 / 4;
         this.most = most;
-        connector = transport.connector(HttpCodec.responses(MAX_BODY), new Handler());
+        connector = transport.connector(HttpCodec.responses(MAX_BODY), new LinkHandler(loop));
     }
 
     @Override
@@ -152,7 +153,7 @@
         }
     }
 
-    private final class RegionConnection {
+    private final class RegionConnection implements Link {
         private final InetSocketAddress address;
         private IoSession session;
         private Call call;
@@ -177,13 +178,13 @@
                     return;
                 }
                 session = future.getSession();
-                session.setAttribute(RegionConnection.class, this);
+                LinkHandler.attach(session, this);
                 if (closed) {
                     session.closeNow();
                 } else if (session.isConnected()) {
                     carry(call);
                 } else {
-                    // It ended before the attribute was there for the handler to find.
+                    // It ended before it was attached.
                     close();
                 }
             }));
@@ -198,7 +199,13 @@
             });
         }
 
-        void received(Object message) {
+        @Override
+        public void ended() {
+            close();
+        }
+
+        @Override
+        public void received(Object message, long at) {
             if (closed) {
                 return;
             }
@@ -236,29 +243,4 @@
             }
         }
     }
-
-    private final class Handler extends IoHandlerAdapter {
-        @Override
-        public void messageReceived(IoSession session, Object message) {
-            loop.post(() -> of(session).received(message));
-        }
-
-        @Override
-        public void sessionClosed(IoSession session) {
-            loop.post(() -> {
-                if (of(session) != null) {
-                    of(session).close();
-                }
-            });
-        }
-
-        @Override
-        public void exceptionCaught(IoSession session, Throwable cause) {
-            Transport.drop(session, cause);
-        }
-
-        private RegionConnection of(IoSession session) {
-            return (RegionConnection) session.getAttribute(RegionConnection.class);
-        }
-    }
 }
--- a/src/main/java/ryemast/net/terminal/TerminalConnection.java
+++ b/src/main/java/ryemast/net/terminal/TerminalConnection.java
@@ -10,12 +10,13 @@
 import org.apache.mina.core.session.IoSession;
 import ryemast.core.Terminal;
 import ryemast.core.Transaction;
+import ryemast.net.Link;
 import ryemast.net.http.HttpException;
 import ryemast.net.http.HttpHead;
 import ryemast.net.http.HttpMessage;
 
 /** One connection of a client, or of a worker that calls back: its requests are taken one by one. */
-final class TerminalConnection implements Terminal {
+final class TerminalConnection implements Terminal, Link {
 
     private static final Logger LOG = Logger.getLogger(TerminalConnection.class.getName());
     private static final double MICROS_PER_S = 1e6;
@@ -45,8 +46,8 @@
         return restingSince;
     }
 
-    /** Takes a whole request, or what came in place of one, that arrived at the given time. */
-    void received(Object message, long at) {
+    @Override
+    public void received(Object message, long at) {
         if (closing) {
             return;
         }
@@ -200,7 +201,9 @@
     }
 
     /** The connection is gone: a client that still waited has left. */
-    void ended() {
+    @Override
+    public void ended() {
+        server.ended(this);
         closing = true;
         waiting.clear();
         if (transaction != null) {
--- a/src/main/java/ryemast/net/terminal/TerminalServer.java
+++ b/src/main/java/ryemast/net/terminal/TerminalServer.java
@@ -7,14 +7,13 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.apache.mina.core.service.IoHandlerAdapter;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
-import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
+import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
 import ryemast.net.http.HttpCodec;
 
@@ -30,7 +29,6 @@
     final Loop loop;
     final Exchange exchange;
     final JobReader jobs;
-    private final Clock clock;
     private final NioSocketAcceptor acceptor;
     private final int most;
     private final AtomicInteger accepted = new AtomicInteger();
@@ -42,11 +40,9 @@
     private boolean draining;
 
     /** {@code most}: how many connections may be open at once. */
-    public TerminalServer(Loop loop, Exchange exchange, Transport transport, Clock clock, JobReader jobs,
-            int most) {
+    public TerminalServer(Loop loop, Exchange exchange, Transport transport, JobReader jobs, int most) {
         this.loop = loop;
         this.exchange = exchange;
-        this.clock = clock;
         this.jobs = jobs;
         this.most = most;
         acceptor = new Acceptor(transport.processor());
@@ -107,6 +103,11 @@
         }
     }
 
+    void ended(TerminalConnection connection) {
+        open.remove(connection);
+        resting.remove(connection);
+    }
+
     void wrote(int begun) {
         writing += begun;
     }
@@ -144,40 +145,25 @@
         }
     }
 
-    private final class Handler extends IoHandlerAdapter {
+    private final class Handler extends LinkHandler {
+        Handler() {
+            super(TerminalServer.this.loop);
+        }
+
         @Override
         public void sessionCreated(IoSession session) {
             loop.post(() -> {
                 var connection = new TerminalConnection(TerminalServer.this, session);
-                session.setAttribute(TerminalConnection.class, connection);
+                attach(session, connection);
                 open.add(connection);
                 resting.add(connection);
             });
         }
 
-        @Override
-        public void messageReceived(IoSession session, Object message) {
-            long at = clock.now();
-            loop.post(() -> of(session).received(message, at));
-        }
-
         @Override
         public void sessionClosed(IoSession session) {
             accepted.decrementAndGet();
-            loop.post(() -> {
-                open.remove(of(session));
-                resting.remove(of(session));
-                of(session).ended();
-            });
-        }
-
-        @Override
-        public void exceptionCaught(IoSession session, Throwable cause) {
-            Transport.drop(session, cause);
-        }
-
-        private TerminalConnection of(IoSession session) {
-            return (TerminalConnection) session.getAttribute(TerminalConnection.class);
+            super.sessionClosed(session);
         }
     }
 }
--- a/src/test/java/ryemast/core/ExchangeTest.java
+++ b/src/test/java/ryemast/core/ExchangeTest.java
@@ -226,11 +226,22 @@
         assertEquals(List.of("a failed", "b refused 0"), answers);
     }
 
+    /** Guards against a stall over deadline and grace, after which the module was not asked any more. */
+    @Test
+    void afterAStallTheModulesAnswerStillComesFirst() {
+        submit("a", new Send(1, "w1", 0));
+        clock += 2 * SECOND;
+        turn(new Refuse(1, 0));
+        turn();
+        assertEquals(List.of("a refused 0"), answers);
+    }
+
     @Test
     void aTransactionThatTheModuleForgotFailsWithinTheGrace() {
         submit("a");
         clock += SECOND + 25_000;
         turn();
+        turn();
         assertEquals(List.of("a failed"), answers);
         assertEquals(0, exchange.open());
     }
