--- a/src/main/java/pipitladder/Brain.java
+++ b/src/main/java/pipitladder/Brain.java
@@ -273,24 +273,16 @@
     private void giveUp(Job job) {
         boolean keyed = job.jobClass.effect() == Effect.KEYED && job.jobClass.keyScope() == KeyScope.ALL;
         if (!job.closed) {
-            out.accept(harmless(job) || keyed ? new Refuse(job.request.id(), comeBackAfter(job))
+            out.accept(harmless(job) || keyed ? new Refuse(job.request.id(), comeBackAfter())
                     : new Fail(job.request.id()));
         }
         close(job);
     }
 
-    /** How long until the shortest wait, as expected now, is one that a job of this class puts up with. */
-    private long comeBackAfter(Job job) {
+    /** Places are given anew at the next round; where no worker is listed, there is no telling when. */
+    private long comeBackAfter() {
         long most = settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0;
-        double shortest = Double.MAX_VALUE;
-        for (var some : List.of(near, far)) {
-            for (var worker : some) {
-                estimate(worker);
-                shortest = Math.min(shortest, worker.wait);
-            }
-        }
-        double excess = shortest * SECOND - job.jobClass.aim() / 4.0;
-        return (long) Math.min(most, Math.max(period, excess));
+        return near.isEmpty() && far.isEmpty() ? most : Math.min(most, period);
     }
 
     private void placeRound() {
