--- a/src/test/java/ryemast/it/LimitsIT.java
+++ b/src/test/java/ryemast/it/LimitsIT.java
@@ -35,6 +35,21 @@
         }
     }
 
+    @Test
+    void killedOutrightItStartsAgainAtItsAddressAndTakesTheLateWordOfItsFormerLife() throws Exception {
+        try (var platform = new Platform()) {
+            var client = platform.client();
+            var txn = platform.job(client, "sticker", 5_000);
+            var worker = platform.holder(txn);
+            platform.restart();
+            assertNull(client.read());
+            assertEquals("200", platform.callBack(txn, worker, "done", ",\"result\":\"x\""));
+            var again = platform.client();
+            platform.done(platform.job(again, "sticker", 5_000), "new life");
+            assertEquals("new life", again.read().body());
+        }
+    }
+
     @Test
     void aBadConfigurationIsNamedAndEndsTheProgramWith2() throws Exception {
         try (var platform = new Platform()) {
--- a/src/test/java/ryemast/it/Platform.java
+++ b/src/test/java/ryemast/it/Platform.java
@@ -3,6 +3,7 @@
 import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
 import java.nio.file.Files;
@@ -34,7 +35,8 @@
     final Peer discovery = new Peer(this::table);
     final Queue<String> log = new ConcurrentLinkedQueue<>();
     private final Path folder = Files.createTempDirectory("ryemast-it");
-    private final Process program;
+    private final String config;
+    private Process program;
     private volatile String states;
     private volatile boolean tableFails;
     private volatile boolean tableMute;
@@ -48,7 +50,7 @@
     /** {@code firstStates}: what the list says of the first and the second worker. */
     Platform(String maxOpen, int sockets, String firstStates) throws Exception {
         states = firstStates;
-        var config = "{\"name\":\"it\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
+        config = "{\"name\":\"it\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
                 + "\",\"seed\":\"5\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + table(40, true)
                 + ",\"settings\":" + SETTINGS.replace("MAX_OPEN", maxOpen) + "}";
         program = start(config);
@@ -57,6 +59,19 @@
         until(() -> discovery.count("GET") > 0);
     }
 
+    /** Kills the program outright and starts it anew at the same address, where it knows nothing. */
+    void restart() throws Exception {
+        program.destroyForcibly().waitFor();
+        program = start(config.replace("127.0.0.1:0", "127.0.0.1:" + address.getPort()));
+        until(() -> {
+            try {
+                return health().equals("200");
+            } catch (ConnectException e) {
+                return false;
+            }
+        });
+    }
+
     /** Starts the packaged program as deploy/balancer.toml does. */
     Process start(String config) throws IOException {
         var run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
