SIGHUP reads the configuration again and moves the watch to the new discovery

Checked: with a handler alone, BALANCER_DISCOVERY would have hidden the file's new address for good, as variables come first in Config; read again, the file comes first for this key. The new service is asked from version 0: the first list given at the start carries version 0 and is whole, so nothing the old one's version stood for is assumed.

--- a/src/main/java/ryemast/Service.java
+++ b/src/main/java/ryemast/Service.java
@@ -4,6 +4,7 @@
 import java.util.logging.Logger;
 import pipitladder.Brain;
 import ryemast.config.Config;
+import ryemast.config.ConfigException;
 import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
@@ -66,6 +67,7 @@
         // Not a shutdown hook: the log's own hook would run beside it, and the last lines would be lost.
         Signal.handle(new Signal("TERM"), signal -> loop.post(this::drain));
         Signal.handle(new Signal("INT"), signal -> loop.post(this::drain));
+        Signal.handle(new Signal("HUP"), signal -> reload());
         loop.post(() -> table.begin(config.known()));
         var address = terminals.listen(config.listen());
         loop.post(() -> {
@@ -78,6 +80,20 @@
         System.exit(0);
     }
 
+    /**
+     * Follows the file as it is now; a signal's own thread reads it, as the loop must not wait for a disk.
+     * Guards the program against a file that can't be used: it goes on as it was. One at a time, so that the
+     * file read last is also the one followed.
+     */
+    private synchronized void reload() {
+        try {
+            var next = Config.readAgain(System.getenv());
+            loop.post(() -> table.moveTo(next.discovery()));
+        } catch (ConfigException | RuntimeException e) {
+            LOG.warning("the new configuration is not used: " + e.getMessage());
+        }
+    }
+
     private void drain() {
         if (drainingSince == 0) {
             LOG.info("ending: " + exchange.open() + " transactions to answer");
--- a/src/main/java/ryemast/config/Config.java
+++ b/src/main/java/ryemast/config/Config.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import pipitladder.Dispatcher.Settings;
@@ -40,8 +41,17 @@
     private static final double DEFAULT_CONN_IDLE = 5e6;
     private static final double DEFAULT_GRACE = 20e3;
 
-    /** Reads what the environment points to. */
+    /** Reads what the environment points to, at the start. */
     public static Config read(Map<String, String> environment) throws ConfigException {
+        return read(environment, false);
+    }
+
+    /** Reads it again: the address of discovery in the file is newer than the one given at the start. */
+    public static Config readAgain(Map<String, String> environment) throws ConfigException {
+        return read(environment, true);
+    }
+
+    private static Config read(Map<String, String> environment, boolean again) throws ConfigException {
         var path = environment.get("BALANCER_CONFIG");
         if (path == null || path.isEmpty()) {
             throw new ConfigException("BALANCER_CONFIG is not set");
@@ -57,7 +67,12 @@
         if (!json.isJsonObject()) {
             throw new ConfigException("BALANCER_CONFIG: " + path + " must hold a JSON object");
         }
-        return new Reader(environment, json.getAsJsonObject()).config();
+        var file = json.getAsJsonObject();
+        var given = new HashMap<>(environment);
+        if (again && file.has("discovery")) {
+            given.remove("BALANCER_DISCOVERY");
+        }
+        return new Reader(given, file).config();
     }
 
     /** The keys of one file. */
--- a/src/main/java/ryemast/net/servicetable/TableWatch.java
+++ b/src/main/java/ryemast/net/servicetable/TableWatch.java
@@ -36,10 +36,10 @@
 
     private final Loop loop;
     private final Exchange exchange;
-    private final InetSocketAddress discovery;
     private final TableReader reader;
     private final NioSocketConnector connector;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private InetSocketAddress discovery;
     private long version;
     private Watch watch;
 
@@ -74,6 +74,19 @@
         watch.open();
     }
 
+    /**
+     * Discovery is elsewhere from here on. All that was listed stays until the new one says otherwise; it is
+     * asked for everything, as the former one's versions need not mean the same there.
+     */
+    public void moveTo(InetSocketAddress address) {
+        if (!address.equals(discovery)) {
+            LOG.info("the service table is at " + Addresses.text(address) + " from now on");
+            discovery = address;
+            version = 0;
+            watch();
+        }
+    }
+
     private void follow(TableUpdate update, ListKind kind) {
         version = update.version();
         for (var entry : update.entries()) {
--- a/src/test/java/ryemast/config/ConfigTest.java
+++ b/src/test/java/ryemast/config/ConfigTest.java
@@ -56,6 +56,19 @@
         complains("BALANCER_LISTEN", VALID, "BALANCER_LISTEN", "nowhere");
     }
 
+    @Test
+    void readAgainTheFileSaysWhereDiscoveryIs() throws Exception {
+        var file = folder.resolve("config.json");
+        var given = Map.of("BALANCER_CONFIG", file.toString(), "BALANCER_DISCOVERY", "127.0.0.1:9",
+                "BALANCER_LISTEN", "127.0.0.1:10");
+        Files.writeString(file, VALID.replace('\'', '"'));
+        assertEquals(9, Config.read(given).discovery().getPort());
+        assertEquals(8500, Config.readAgain(given).discovery().getPort());
+        assertEquals(10, Config.readAgain(given).listen().getPort());
+        Files.writeString(file, VALID.replace('\'', '"').replace("discovery", "other"));
+        assertEquals(9, Config.readAgain(given).discovery().getPort());
+    }
+
     @Test
     void theFaultyKeyIsNamed() {
         assertTrue(assertThrows(ConfigException.class, () -> Config.read(Map.of())).getMessage()
--- a/src/test/java/ryemast/it/Platform.java
+++ b/src/test/java/ryemast/it/Platform.java
@@ -72,12 +72,24 @@
         });
     }
 
+    /** Replaces the configuration file and tells the program so. */
+    void reload(String newConfig) throws Exception {
+        Files.writeString(folder.resolve("config.json"), newConfig);
+        new ProcessBuilder("kill", "-HUP", Long.toString(program.pid())).start().waitFor();
+    }
+
+    /** The configuration as it is, with discovery at another peer. */
+    String configWith(Peer otherDiscovery) {
+        return config.replace(discovery.address(), otherDiscovery.address());
+    }
+
     /** Starts the packaged program as deploy/balancer.toml does. */
     Process start(String config) throws IOException {
         var run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                 .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
         var command = run.substring("run = \"".length(), run.lastIndexOf('"'));
         var builder = new ProcessBuilder("/bin/sh", "-c", command);
+        builder.environment().put("BALANCER_DISCOVERY", discovery.address());
         builder.environment().put("BALANCER_CONFIG",
                 Files.writeString(folder.resolve("config.json"), config).toString());
         var process = builder.redirectErrorStream(true).start();
@@ -124,7 +136,7 @@
                 + "\"cell\":0,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
     }
 
-    private void table(Wire wire, Wire.Message message) throws IOException, InterruptedException {
+    void table(Wire wire, Wire.Message message) throws IOException, InterruptedException {
         if (tableFails) {
             wire.send("HTTP/1.1 503 Service Unavailable", "", "");
             return;
