Names used lately are not taken again; a worker's 4xx fails the job and blames nobody

Exchange.isFree knew open names only, and workers answered 400; Call.answered made that Outcome.ERROR, so Brain sent the job to five workers in turn and judge() avoided each for a second or more: five of eight, for nothing.

Ruled out: the socket limit, which was first met at 10 s, after the refusals had begun.

--- a/src/main/java/pipitladder/Brain.java
+++ b/src/main/java/pipitladder/Brain.java
@@ -179,7 +179,9 @@
         attempt.worker.release(attempt);
         judge(attempt, ended.outcome());
         readReport(attempt.worker, ended.report());
-        boolean more = now < job.deadline && job.attempts.size() < settings.limits().maxAttempts();
+        job.unusable |= ended.outcome() == Outcome.UNUSABLE;
+        boolean more = !job.unusable && now < job.deadline
+                && job.attempts.size() < settings.limits().maxAttempts();
         if (job.closed || ended.requestClosed()) {
             close(job);
         } else if (job.outstanding == 0 && more && (harmless(job) || keyRemembered(job))) {
@@ -269,12 +271,12 @@
         arm("sweep", sweepEvery, this::sweep);
     }
 
-    /** A refusal promises that trying again is harmless; a failure promises nothing. */
+    /** A refusal promises that trying again is harmless; a failure promises nothing, nor does it invite. */
     private void giveUp(Job job) {
         boolean keyed = job.jobClass.effect() == Effect.KEYED && job.jobClass.keyScope() == KeyScope.ALL;
         if (!job.closed) {
-            out.accept(harmless(job) || keyed ? new Refuse(job.request.id(), comeBackAfter())
-                    : new Fail(job.request.id()));
+            boolean invite = !job.unusable && (harmless(job) || keyed);
+            out.accept(invite ? new Refuse(job.request.id(), comeBackAfter()) : new Fail(job.request.id()));
         }
         close(job);
     }
--- a/src/main/java/pipitladder/Dispatcher.java
+++ b/src/main/java/pipitladder/Dispatcher.java
@@ -43,7 +43,9 @@
     /** How an attempt ended. */
     enum Outcome {
         SUCCESS(false), ERROR(false), REJECTED(true), TIMED_OUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), NOT_SENT(true);
+        CANCELLED(false), NOT_SENT(true),
+        /** The worker can't use the request: the request is at fault, not the worker. */
+        UNUSABLE(true);
 
         /** Whether the job certainly never ran in this attempt. */
         public final boolean provesNotRun;
--- a/src/main/java/pipitladder/Ledger.java
+++ b/src/main/java/pipitladder/Ledger.java
@@ -239,6 +239,8 @@
         final List<Attempt> attempts = new ArrayList<>(1);
         int outstanding;
         boolean closed;
+        /** A worker has said that no worker can use it. */
+        boolean unusable;
         /** Workers drawn ahead and probed; null if none were. */
         List<Worker> candidates;
         int draws;
--- a/src/main/java/ryemast/core/Exchange.java
+++ b/src/main/java/ryemast/core/Exchange.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -37,6 +38,8 @@
 public final class Exchange {
 
     private static final Logger LOG = Logger.getLogger(Exchange.class.getName());
+    /** So many names are remembered: at the busiest, those of a minute or more. */
+    private static final int NAMES = 4096;
 
     private final Loop loop;
     private final Dispatcher module;
@@ -47,6 +50,8 @@
     private ServiceTable serviceTable;
     private final Map<String, Transaction> byTxn = new HashMap<>();
     private final Map<Long, Transaction> byNumber = new HashMap<>();
+    /** Names of the transactions taken last, the oldest first. */
+    private final Set<String> lastNames = new LinkedHashSet<>();
     private final Set<String> listedWorkers = new HashSet<>();
     private List<Event> gathered = new ArrayList<>();
     private final List<Action> actions = new ArrayList<>();
@@ -77,9 +82,17 @@
         return open;
     }
 
-    /** Whether the name is free: two open transactions under one name could not be told apart. */
+    /**
+     * Whether the name is free. Two open transactions under one name could not be told apart, and workers
+     * turn away a name that they have had before, so that one used lately is not free either.
+     */
     public boolean isFree(String txn) {
-        return !byTxn.containsKey(txn);
+        return !isKept(txn) && !lastNames.contains(txn);
+    }
+
+    /** Whether the transaction of that name is still kept: it is not answered, or a routed task is out. */
+    boolean isKept(String txn) {
+        return byTxn.containsKey(txn);
     }
 
     /**
@@ -94,6 +107,10 @@
         var transaction = new Transaction(++lastNumber, submission, terminal);
         open++;
         byTxn.put(submission.txn(), transaction);
+        lastNames.add(submission.txn());
+        if (lastNames.size() > NAMES) {
+            lastNames.remove(lastNames.iterator().next());
+        }
         byNumber.put(transaction.number, transaction);
         // A turn later, as in this one the module may hear of the deadline for the first time, after a stall.
         transaction.backstop = loop.at(submission.deadline() + grace,
--- a/src/main/java/ryemast/net/http/HttpHead.java
+++ b/src/main/java/ryemast/net/http/HttpHead.java
@@ -10,10 +10,14 @@
  * @param first    method, or the version of a response
  * @param second   target, or the status of a response
  * @param third    version, or the reason of a response
- * @param headers  by lower-case name; a header that came repeatedly holds all values, with commas
+ * @param headers  by lower-case name; a header that came repeatedly holds all values, each on
+ *                 a line of its own
  */
 public record HttpHead(String first, String second, String third, Map<String, String> headers) {
 
+    /** Stands between the values of a header that came repeatedly; no value holds it. */
+    public static final String NEXT_VALUE = "\n";
+
     public static HttpHead request(String method, String target) {
         return new HttpHead(method, target, "HTTP/1.1", new LinkedHashMap<>());
     }
@@ -53,7 +57,7 @@
     public boolean lists(String name, String word) {
         var value = headers.get(name);
         if (value != null) {
-            for (var each : value.split(",")) {
+            for (var each : value.split("[,\n]")) {
                 if (each.strip().toLowerCase(Locale.ROOT).equals(word)) {
                     return true;
                 }
--- a/src/main/java/ryemast/net/http/HttpParser.java
+++ b/src/main/java/ryemast/net/http/HttpParser.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
+import java.util.regex.Pattern;
 
 /** Takes HTTP/1.1 messages apart, in whatever pieces they come; knows nothing of where they come from. */
 public final class HttpParser {
@@ -12,6 +13,8 @@
     /** The longest start line, header lines together, or trailer; guards the memory against endless ones. */
     public static final int MAX_HEAD = 16 * 1024;
     private static final int MAX_CHUNK_DIGITS = 7;
+    /** Guards values against being changed: no more than this may be taken off them. */
+    private static final Pattern SPACE_AROUND = Pattern.compile("^[ \t]+|[ \t]+$");
 
     /** Receives the parts of each message in order. */
     public interface Sink {
@@ -159,7 +162,7 @@
     }
 
     private static boolean isTarget(String text) {
-        return text.startsWith("/") && text.chars().allMatch(c -> c > ' ' && c != 127)
+        return text.startsWith("/") && text.chars().allMatch(c -> c > ' ' && c < 127)
                 || text.equals("*");
     }
 
@@ -174,7 +177,7 @@
             throw new HttpException(400, "a malformed header line");
         }
         var name = text.substring(0, colon).toLowerCase(Locale.ROOT);
-        var value = text.substring(colon + 1).strip();
+        var value = SPACE_AROUND.matcher(text.substring(colon + 1)).replaceAll("");
         if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
             throw new HttpException(400, "a control character in header " + name);
         }
@@ -183,7 +186,7 @@
             throw new HttpException(400, "two values of header content-length");
         }
         if (before != null && !name.equals("content-length")) {
-            headers.put(name, before + ", " + value);
+            headers.put(name, before + HttpHead.NEXT_VALUE + value);
         }
     }
 
--- a/src/main/java/ryemast/net/region/Call.java
+++ b/src/main/java/ryemast/net/region/Call.java
@@ -14,6 +14,7 @@
     /** How long an answer is awaited that no routed task waits for any more. */
     private static final long PATIENCE = 2_000_000;
     private static final int TAKEN = 202;
+    private static final int FAULT_OF_REQUEST = 400;
     private static final int ERROR = 500;
 
     final HttpMessage message;
@@ -63,6 +64,8 @@
         if (!turnedAway && status != ERROR && !task.ended()) {
             LOG.warning(task.worker() + " answered " + status + " to " + task.submission().txn());
         }
-        exchange.ended(task, turnedAway ? Outcome.REJECTED : Outcome.ERROR);
+        // Guards workers against a bad client: what its request is answered with says nothing of the worker.
+        boolean unusable = status >= FAULT_OF_REQUEST && status < ERROR;
+        exchange.ended(task, turnedAway ? Outcome.REJECTED : unusable ? Outcome.UNUSABLE : Outcome.ERROR);
     }
 }
--- a/src/main/java/ryemast/net/terminal/TerminalConnection.java
+++ b/src/main/java/ryemast/net/terminal/TerminalConnection.java
@@ -132,7 +132,7 @@
         try {
             var submission = server.jobs.read(request, arrivedAt);
             if (!server.exchange.isFree(submission.txn())) {
-                throw new HttpException(400, "header X-Txn: this one is open already");
+                throw new HttpException(400, "header X-Txn: this one was used before");
             }
             transaction = server.exchange.submit(submission, this);
         } catch (HttpException e) {
--- a/src/test/java/pipitladder/BrainTest.java
+++ b/src/test/java/pipitladder/BrainTest.java
@@ -105,6 +105,21 @@
         assertNotEquals(first, stage.lastWorker(1));
     }
 
+    /** Guards workers against the blame for a bad client's request, and the others' jobs with it. */
+    @Test
+    void aRequestThatAWorkerCantUseFailsAtOnceAndNobodyIsBlamed() {
+        var stage = repeatable();
+        stage.list(worker("a"));
+        stage.place(1);
+        stage.end(1, 0, Outcome.UNUSABLE);
+        stage.pass(S);
+        assertEquals(1, stage.sends(1).size());
+        assertEquals(List.of(new Fail(1)), stage.all(Fail.class));
+        stage.place(2);
+        assertEquals("a", stage.lastWorker(2));
+        assertEquals(List.of(), stage.all(Refuse.class));
+    }
+
     @Test
     void attemptsRunOutInARefusalWhereThatIsHarmless() {
         var stage = repeatable();
--- a/src/test/java/ryemast/core/ExchangeTest.java
+++ b/src/test/java/ryemast/core/ExchangeTest.java
@@ -128,6 +128,17 @@
         assertEquals(List.of("a served result"), answers);
         assertEquals(1, events.stream().filter(AttemptStarted.class::isInstance).count());
         assertEquals(List.of(new AttemptEnded(1, 0, "w1", Outcome.SUCCESS, true, null)), ends());
+        assertFalse(exchange.isKept("a"));
+    }
+
+    /** Guards workers against a name used twice, and the memory against remembering all of them. */
+    @Test
+    void aNameIsFreeAgainOnlyAfterManyOthers() {
+        submit("a", new Refuse(1, 0));
+        assertFalse(exchange.isFree("a"));
+        for (int i = 2; i <= 5_000; i++) {
+            submit("b" + i, new Refuse(i, 0));
+        }
         assertTrue(exchange.isFree("a"));
     }
 
@@ -200,7 +211,7 @@
         turn();
         assertEquals(List.of(new AttemptEnded(1, 0, "w1", Outcome.TIMED_OUT, true, null)), ends());
         assertEquals(List.of(), answers);
-        assertTrue(exchange.isFree("a"));
+        assertFalse(exchange.isKept("a"));
     }
 
     @Test
--- a/src/test/java/ryemast/it/ReloadIT.java
+++ b/src/test/java/ryemast/it/ReloadIT.java
@@ -20,7 +20,8 @@
             platform.holder(txn);
             platform.reload(platform.configWith(elsewhere));
             until(() -> elsewhere.count("GET") == 1);
-            assertEquals("GET /catalog/members?watch=1&from=0 HTTP/1.1", elsewhere.received.element().start());
+            assertEquals("GET /catalog/members?watch=1&from=0 HTTP/1.1",
+                    elsewhere.received.element().start());
             platform.failTable();
             platform.done(txn, "in hand");
             assertEquals("in hand", client.read().body());
--- a/src/test/java/ryemast/it/ServeIT.java
+++ b/src/test/java/ryemast/it/ServeIT.java
@@ -125,6 +125,20 @@
         assertServedByEither(txn);
     }
 
+    /** Guards the workers against a bad client's request: one answer says it all, and no one is avoided. */
+    @Test
+    void aJobThatAWorkerCantUseFailsAndItsNameIsNotTakenAgain() throws Exception {
+        Peer.Script unusable = (wire, message) -> wire.send("HTTP/1.1 400 Bad Request", "", "");
+        platform.one.script = unusable;
+        platform.two.script = unusable;
+        var txn = platform.job(client, "load", 5_000);
+        assertEquals("500", client.read().status());
+        client.send("POST /api/other HTTP/1.1\r\nX-Txn: " + txn + "\r\nX-Lane: load\r\nX-Org: acme\r\n"
+                + "X-Remaining-Ms: 900\r\n\r\n");
+        assertEquals("header X-Txn: this one was used before\n", client.read().body());
+        assertEquals(1, sends(platform.one, txn) + sends(platform.two, txn));
+    }
+
     @Test
     void aJobHandedBackIsPlacedAnew() throws Exception {
         var txn = platform.job(client, "sticker", 5_000);
--- a/src/test/java/ryemast/net/http/HttpParserTest.java
+++ b/src/test/java/ryemast/net/http/HttpParserTest.java
@@ -63,7 +63,7 @@
     @Property(seed = "1", tries = 500)
     void requestsAreUnderstoodHoweverTheyAreCut(@ForAll long seed) throws HttpException {
         assertEquals("POST /api/k?q=1{x-txn=a, content-length=5}<hello>"
-                + "GET /_health{host=h, accept=a, b}<>POST /x{transfer-encoding=chunked}<abcde>",
+                + "GET /_health{host=h, accept=a\nb}<>POST /x{transfer-encoding=chunked}<abcde>",
                 told(true, 10, REQUESTS, seed));
     }
 
@@ -93,6 +93,8 @@
         assertEquals(400, status(true, "GET / HTTP/1.1\r\nno colon\r\n"));
         assertEquals(400, status(true, "GET / HTTP/1.1\r\nA b: c\r\n"));
         assertEquals(400, status(true, "GET / HTTP/1.1\r\nA: b\rc\r\n"));
+        assertEquals(400, status(true, "GET / HTTP/1.1\r\nA:\u000bb\r\n"));
+        assertEquals(400, status(true, "GET /\u00e9 HTTP/1.1\r\n"));
         assertEquals(400, status(true, "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n"));
         assertEquals(400, status(true, "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n"));
         assertEquals(400, status(true,
--- a/src/test/java/ryemast/net/terminal/ReadersTest.java
+++ b/src/test/java/ryemast/net/terminal/ReadersTest.java
@@ -66,6 +66,11 @@
         assertTrue(complaint("x-org", "unheard").contains("X-Org"));
         assertTrue(complaint("x-remaining-ms", "-1").contains("X-Remaining-Ms"));
         assertTrue(complaint("x-estimate", "1.5").contains("X-Estimate"));
+        assertTrue(complaint("x-txn", "t\u00e9").contains("X-Txn"));
+        assertTrue(complaint("x-txn", "t".repeat(129)).contains("X-Txn"));
+        for (var name : List.of("x-txn", "x-lane", "x-org", "x-remaining-ms", "x-estimate", "x-labels")) {
+            assertTrue(complaint(name, "1\n1").contains("more than once"), name);
+        }
         assertTrue(complaint("x-labels", "slots=0").contains("slots"));
         assertTrue(complaint("x-labels", "memory=NaN").contains("memory"));
     }
