--- a/src/main/java/ryemast/Main.java
+++ b/src/main/java/ryemast/Main.java
@@ -4,7 +4,10 @@
 import ryemast.config.Config;
 import ryemast.config.ConfigException;
 
-/** The command line: {@code serve} is the real dispatcher, {@code benchlink} the simulator's adapter. */
+/**
+ * The command line: {@code serve} is the real dispatcher, {@code benchlink} the simulator's adapter, and
+ * {@code rehearse} starts and ends the real one alone, so that the build can archive the classes it loads.
+ */
 public final class Main {
 
     private static final int FAILED = 1;
@@ -20,17 +23,20 @@
                 System.exit(code);
             }
         } else if (args.length == 1 && args[0].equals("serve")) {
-            serve();
+            serve(false);
+        } else if (args.length == 1 && args[0].equals("rehearse")) {
+            serve(true);
         } else {
-            System.err.println("usage: java -jar ryemast.jar serve|benchlink");
+            System.err.println("usage: java -jar ryemast.jar serve|rehearse|benchlink");
             System.exit(USAGE);
         }
     }
 
-    private static void serve() {
+    private static void serve(boolean alone) {
         Logs.setUp();
         try {
-            new Service(Config.read(System.getenv())).start();
+            var service = new Service(alone ? Config.alone() : Config.read(System.getenv()));
+            service.start(alone);
         } catch (ConfigException e) {
             System.err.println("ryemast: " + e.getMessage());
             System.exit(USAGE);
--- a/src/main/java/ryemast/Service.java
+++ b/src/main/java/ryemast/Service.java
@@ -62,17 +62,18 @@
         exchange.connect(pool, table);
     }
 
-    /** Serves until a signal ends it. */
-    void start() throws IOException {
+    /** Serves until a signal ends it, or only until it could let clients in. */
+    void start(boolean onlyUntilReady) throws IOException {
         // Not a shutdown hook: the log's own hook would run beside it, and the last lines would be lost.
         Signal.handle(new Signal("TERM"), signal -> loop.post(this::drain));
         Signal.handle(new Signal("INT"), signal -> loop.post(this::drain));
         Signal.handle(new Signal("HUP"), signal -> reload());
         loop.post(() -> table.begin(config.known()));
         var address = terminals.listen(config.listen());
+        Runnable ready = onlyUntilReady ? this::drain : terminals::ready;
         loop.post(() -> {
-            loop.at(loop.now() + LONGEST_REHEARSAL, terminals::ready);
-            new Rehearsal(config, loop, transport, address, terminals::ready);
+            loop.at(loop.now() + LONGEST_REHEARSAL, ready);
+            new Rehearsal(config, loop, transport, address, ready);
         });
         LOG.info(config.name() + " listens at " + Addresses.text(address));
         loop.run();
--- a/src/main/java/ryemast/config/Config.java
+++ b/src/main/java/ryemast/config/Config.java
@@ -40,6 +40,17 @@
     private static final double DEFAULT_CONNECT_LIMIT = 250e3;
     private static final double DEFAULT_CONN_IDLE = 5e6;
     private static final double DEFAULT_GRACE = 20e3;
+    private static final String ALONE = """
+            {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:9",
+             "known":{"version":1,"full":true,"servers":[
+              {"id":"w","addr":"127.0.0.1:9","zone":"z","kind":"k","cell":0,"state":"Ready","weight":1.0}]},
+             "settings":{"areas":["z"],"models":["k"],"parties":[{"name":"t"}],
+              "allowed":{"max_open":9},"categories":[{"name":"c","effect":"free"}]}}""";
+
+    /** For a start without clients, workers and discovery, at any port of this machine. */
+    public static Config alone() throws ConfigException {
+        return new Reader(Map.of(), JsonParser.parseString(ALONE).getAsJsonObject()).config();
+    }
 
     /** Reads what the environment points to, at the start. */
     public static Config read(Map<String, String> environment) throws ConfigException {
--- a/src/test/java/ryemast/it/LimitsIT.java
+++ b/src/test/java/ryemast/it/LimitsIT.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The packaged program starts, ends, and stays within its limits. */
 @Timeout(60)
@@ -52,6 +53,17 @@
         }
     }
 
+    /** Guards the build's last step: alone, the program plays its rehearsal, ends, and is archived. */
+    @Test
+    void aRehearsalEndsByItselfAndItsClassesAreArchived(@TempDir Path folder) throws Exception {
+        var archive = folder.resolve("classes.jsa");
+        var program = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:ArchiveClassesAtExit=" + archive,
+                "-jar", "target/ryemast.jar", "rehearse").inheritIO().start();
+        assertTrue(program.waitFor(40, TimeUnit.SECONDS));
+        assertEquals(0, program.exitValue());
+        assertTrue(Files.size(archive) > 1_000_000);
+    }
+
     @Test
     void aBadConfigurationIsNamedAndEndsTheProgramWith2() throws Exception {
         try (var platform = new Platform()) {
