Ask the write itself whether a call was written when its connection breaks

A probe shows four calls ended as CONNECT_FAILED whose 'written' came after: RegionConnection.carry added its listener after session.write had been carried out and the reset seen by MINA's thread, so wasWritten was posted to the loop behind 'ended', and Call.broke read false.

Checked: all four breaks within 1 to 4 ms of the write on a kept connection. Ruled out: call-backs of older attempts (none of these had been accepted), and writes cut short (their futures are not written, and stay so).

--- a/src/main/java/ryemast/net/region/Call.java
+++ b/src/main/java/ryemast/net/region/Call.java
@@ -1,6 +1,7 @@
 package ryemast.net.region;
 
 import java.util.logging.Logger;
+import org.apache.mina.core.future.WriteFuture;
 import pipitladder.Dispatcher.Outcome;
 import ryemast.core.Exchange;
 import ryemast.core.RoutedTask;
@@ -21,7 +22,7 @@
     private final Exchange exchange;
     private final RoutedTask task;
     private final long startedAt;
-    private boolean written;
+    private WriteFuture writing;
 
     Call(Exchange exchange, RoutedTask task, HttpMessage message, long startedAt) {
         this.exchange = exchange;
@@ -35,9 +36,8 @@
         return task == other;
     }
 
-    /** Its last byte was written: from here on the job may have run. */
-    void wasWritten() {
-        written = true;
+    void goesOut(WriteFuture future) {
+        writing = future;
     }
 
     boolean overdue(long now) {
@@ -47,6 +47,9 @@
     /** The connection ended without an answer, or never came up. */
     void broke() {
         if (task != null) {
+            // Asked here and now: word of the write that came over the loop could come behind the break, and
+            // a job that may have run would be sent again. Once its last byte is written, it may have run.
+            boolean written = writing != null && writing.isWritten();
             exchange.ended(task, written ? Outcome.RESET : Outcome.CONNECT_FAILED);
         }
     }
--- a/src/main/java/ryemast/net/region/RegionPool.java
+++ b/src/main/java/ryemast/net/region/RegionPool.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.logging.Logger;
-import org.apache.mina.core.future.WriteFuture;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import ryemast.core.Clock;
@@ -185,11 +184,7 @@
 
         void carry(Call next) {
             call = next;
-            session.write(next.message).addListener(future -> {
-                if (((WriteFuture) future).isWritten()) {
-                    loop.post(next::wasWritten);
-                }
-            });
+            next.goesOut(session.write(next.message));
         }
 
         @Override
