--- a/src/main/java/ryemast/net/region/RegionPool.java
+++ b/src/main/java/ryemast/net/region/RegionPool.java
@@ -36,6 +36,10 @@
 
     private static final Logger LOG = Logger.getLogger(RegionPool.class.getName());
     private static final long SWEEP = 250_000;
+    /** However little connections last, what has rested for less is used again. */
+    private static final long LEAST_REST = 25_000;
+    /** After so long without a break at the next use, connections may rest for twice as long again. */
+    private static final long FORGIVING = 30_000_000;
 
     private final Loop loop;
     private final Exchange exchange;
@@ -43,6 +47,9 @@
     private final NioSocketConnector connector;
     private final long connectLimit;
     private final long idleLimit;
+    /** The rest that connections are known to outlast: a part of the one after which one was found broken. */
+    private long restLimit;
+    private long restLimitSince;
     private final int most;
     /** Idle connections by address; the one used last is taken first, so that spare ones can age. */
     private final Map<InetSocketAddress, Deque<RegionConnection>> idle = new HashMap<>();
@@ -63,6 +70,7 @@
         this.connectLimit = connectLimit;
         // Well before the worker's own limit: a call that crosses its close would end as a reset.
         this.idleLimit = connIdle * 3 / 4;
+        this.restLimit = idleLimit;
         this.most = most;
         connector = transport.connector(HttpCodec.responses(), new LinkHandler(loop));
     }
@@ -107,7 +115,7 @@
         message.head().with("Host", Addresses.text(address));
         var call = new Call(exchange, task, message, loop.now());
         var pooled = idle.get(address);
-        if (pooled != null) {
+        if (pooled != null && rested(pooled.peekLast()) <= restLimit) {
             var connection = pooled.pollLast();
             if (pooled.isEmpty()) {
                 idle.remove(address);
@@ -130,6 +138,20 @@
         return connection;
     }
 
+    private long rested(RegionConnection connection) {
+        return loop.now() - connection.idleSince;
+    }
+
+    /**
+     * Guards jobs against connections that are dead without a word, as a worker or a box on the way may drop
+     * them long before the settings say: a job written to one ends as a reset, and may not be repeated.
+     */
+    private void brokeAfter(long rest) {
+        restLimit = Math.max(LEAST_REST, Math.min(restLimit, rest / 2));
+        restLimitSince = loop.now();
+        LOG.info("a connection broke at its next use; from now on they rest " + restLimit / 1000 + " ms");
+    }
+
     /** Guards the limit on sockets: an idle connection makes room. */
     private boolean dropOldestIdle() {
         var oldest = idle.values().stream().map(Deque::peekFirst)
@@ -139,8 +161,12 @@
     }
 
     private void sweep() {
+        if (restLimit < idleLimit && loop.now() - restLimitSince > FORGIVING) {
+            restLimit = Math.min(idleLimit, 2 * restLimit);
+            restLimitSince = loop.now();
+        }
         for (var connection : new ArrayList<>(open)) {
-            if (connection.call == null && loop.now() - connection.idleSince > idleLimit
+            if (connection.call == null && rested(connection) > restLimit
                     || connection.call != null && connection.call.overdue(loop.now())) {
                 connection.close();
             }
@@ -156,6 +182,8 @@
         private IoSession session;
         private Call call;
         private long idleSince;
+        /** For how long it had rested before the call that it carries; negative for its first one. */
+        private long restBefore = -1;
         private boolean closed;
 
         RegionConnection(InetSocketAddress address) {
@@ -184,11 +212,16 @@
 
         void carry(Call next) {
             call = next;
+            restBefore = idleSince == 0 ? -1 : rested(this);
             next.goesOut(session.write(next.message));
         }
 
+        /** The peer, or the way there, has ended it. */
         @Override
         public void ended() {
+            if (!closed && call != null && restBefore >= 0) {
+                brokeAfter(restBefore);
+            }
             close();
         }
 
--- a/src/test/java/ryemast/it/ServeIT.java
+++ b/src/test/java/ryemast/it/ServeIT.java
@@ -173,6 +173,36 @@
         assertEquals(5, platform.one.count("POST") + platform.two.count("POST"));
     }
 
+    /** Guards jobs against connections that die at rest without a word: it is learned how long they last. */
+    @Test
+    void connectionsThatBreakAtTheirNextUseAreSoonNotUsedAgain() throws Exception {
+        Peer.Script onceOnly = (wire, message) -> {
+            wire.send("HTTP/1.1 202 Accepted", "", "");
+            if (wire.read() != null) {
+                wire.close();
+            }
+        };
+        platform.one.script = onceOnly;
+        platform.two.script = onceOnly;
+        int broken = 0;
+        for (int i = 0; i < 20; i++) {
+            long rest = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(60);
+            until(() -> System.nanoTime() > rest);
+            try (var other = platform.client()) {
+                var txn = platform.job(other, "sticker", 5_000);
+                until(() -> sends(platform.one, txn) + sends(platform.two, txn) > 0 || other.hasMore());
+                if (other.hasMore()) {
+                    assertEquals("500", other.read().status());
+                    broken++;
+                } else {
+                    platform.done(txn, "x");
+                    assertEquals("200", other.read().status());
+                }
+            }
+        }
+        assertTrue(broken <= 4, broken + " jobs broke");
+    }
+
     @Test
     void aWorkerThatRefusesConnectionsHasNotRunTheJob() throws Exception {
         platform.one.close();
--- a/src/test/java/ryemast/it/Wire.java
+++ b/src/test/java/ryemast/it/Wire.java
@@ -50,6 +50,11 @@
         return send(start + "\r\n" + headers + "Content-Length: " + length + "\r\n\r\n" + body);
     }
 
+    /** Whether something has come that is not read yet. */
+    boolean hasMore() throws IOException {
+        return in.available() > 0;
+    }
+
     /** The next message, or null if the connection ended. */
     Message read() throws IOException {
         try {
