Split the program into modules by concern, with arrows that only run downward

One Maven module had no room for the subsystems that come next, and the configuration leaned on the simulator's adapter to read the settings.

The reactor has decisions, benchlink, core, net and app; each sees what its pom.xml names. Reading the deployment's settings moved from the adapter to ryemast.settings.

--- a/src/main/java/ryemast/config/Config.java
+++ b/app/src/main/java/ryemast/config/Config.java
@@ -14,11 +14,11 @@
 import java.util.List;
 import java.util.Map;
 import pipitladder.Dispatcher.Settings;
-import pipitladder.benchlink.MalformedInputException;
-import pipitladder.benchlink.SettingsReader;
 import ryemast.net.Addresses;
 import ryemast.net.servicetable.TableReader;
 import ryemast.net.servicetable.TableUpdate;
+import ryemast.settings.SettingsException;
+import ryemast.settings.SettingsReader;
 
 /**
  * The one place where configuration is read, checked and given defaults: the environment names the file and
@@ -122,7 +122,7 @@
                     throw new ConfigException("settings.categories: at least one class is needed");
                 }
                 return settings;
-            } catch (MalformedInputException e) {
+            } catch (SettingsException e) {
                 throw new ConfigException("settings: " + e.getMessage());
             }
         }
--- /dev/null
+++ b/app/src/test/java/ryemast/ArrowsTest.java
@@ -0,0 +1,29 @@
+package ryemast;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** The arrows between the rooms run downward only; the modules' own pom.xml say the same, one by one. */
+class ArrowsTest {
+
+    @Test
+    void arrowsRunDownward() {
+        JavaClasses all = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+                .importPackages("pipitladder", "ryemast");
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("decisions").definedBy("pipitladder", "ryemast.settings..")
+                .layer("benchlink").definedBy("pipitladder.benchlink..")
+                .layer("core").definedBy("ryemast.core..")
+                .layer("net").definedBy("ryemast.net..")
+                .layer("app").definedBy("ryemast", "ryemast.config..")
+                .whereLayer("app").mayNotBeAccessedByAnyLayer()
+                .whereLayer("net").mayOnlyBeAccessedByLayers("app")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("net", "app")
+                .whereLayer("benchlink").mayOnlyBeAccessedByLayers("app")
+                .check(all);
+    }
+}
--- a/src/test/java/ryemast/it/LimitsIT.java
+++ b/app/src/test/java/ryemast/it/LimitsIT.java
@@ -58,7 +58,7 @@
     void aRehearsalEndsByItselfAndItsClassesAreArchived(@TempDir Path folder) throws Exception {
         var archive = folder.resolve("classes.jsa");
         var program = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:ArchiveClassesAtExit=" + archive,
-                "-jar", "target/ryemast.jar", "rehearse").inheritIO().start();
+                "-jar", "app/target/ryemast.jar", "rehearse").inheritIO().start();
         assertTrue(program.waitFor(40, TimeUnit.SECONDS));
         assertEquals(0, program.exitValue());
         assertTrue(Files.size(archive) > 1_000_000);
--- a/src/main/java/pipitladder/benchlink/BenchLink.java
+++ b/benchlink/src/main/java/pipitladder/benchlink/BenchLink.java
@@ -22,6 +22,8 @@
 import pipitladder.Dispatcher.TimerDue;
 import pipitladder.Dispatcher.WorkerInfo;
 import pipitladder.Dispatcher.WorkerList;
+import ryemast.settings.SettingsException;
+import ryemast.settings.SettingsReader;
 
 /** Hosts the dispatchers of one process and translates between them and the wire; it decides nothing. */
 final class BenchLink {
@@ -92,8 +94,12 @@
 
     private void start(long who, Message message) throws IOException {
         long seed = message.need(message.seed, "random_seed");
-        var settings = SettingsReader.read(message.need(message.settings, "env"));
-        answer(who, () -> instances.put(who, new Brain(settings, seed)));
+        try {
+            var settings = SettingsReader.read(message.need(message.settings, "env"));
+            answer(who, () -> instances.put(who, new Brain(settings, seed)));
+        } catch (SettingsException e) {
+            throw new MalformedInputException(e.getMessage());
+        }
     }
 
     /** A failure of the module is the wire's to report: the day ends with its cause. */
--- a/src/main/java/pipitladder/benchlink/SettingsReader.java
+++ b/decisions/src/main/java/ryemast/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package pipitladder.benchlink;
+package ryemast.settings;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -13,7 +13,10 @@
 import pipitladder.Dispatcher.Settings;
 import pipitladder.Dispatcher.Tenant;
 
-/** Translates the wire's settings object; what it leaves out gets the value that asks for the most care. */
+/**
+ * Translates the deployment's settings object, as the platform's configuration and the simulator's wire both
+ * carry it; what it leaves out gets the value that asks for the most care.
+ */
 public final class SettingsReader {
 
     private final Map<String, Object> env;
@@ -22,11 +25,16 @@
         this.env = env;
     }
 
-    public static Settings read(Map<String, Object> env) throws MalformedInputException {
+    /**
+     * Reads nested JSON as Gson gives it: objects as maps, numbers as {@code Double}.
+     *
+     * @throws SettingsException if a word is unknown or a list holds something else than objects
+     */
+    public static Settings read(Map<String, Object> env) throws SettingsException {
         return new SettingsReader(env).settings();
     }
 
-    private Settings settings() throws MalformedInputException {
+    private Settings settings() throws SettingsException {
         var family = object(env, "specifics");
         return new Settings((int) number(env, "ordinal", 0), (int) number(env, "fleet_size", 1),
                 (int) number(env, "locality", 0), Math.max(1, time(env, "resolution", 1000)),
@@ -36,7 +44,7 @@
                 tenants(), reportFields(), limits(), rules(), prices());
     }
 
-    private List<JobClass> classes(Map<String, Object> family) throws MalformedInputException {
+    private List<JobClass> classes(Map<String, Object> family) throws SettingsException {
         var kinds = list(family, "class_kind");
         var stretches = list(family, "class_stretch");
         var found = new ArrayList<JobClass>();
@@ -51,7 +59,7 @@
         return List.copyOf(found);
     }
 
-    private List<Tenant> tenants() throws MalformedInputException {
+    private List<Tenant> tenants() throws SettingsException {
         var found = new ArrayList<Tenant>();
         for (var each : objects("parties")) {
             found.add(new Tenant(number(each, "quota_per_s", Double.MAX_VALUE)));
@@ -88,7 +96,7 @@
                 number(tariffs, "peer", 0), number(tariffs, "probe", 0));
     }
 
-    private static Effect effect(Object word) throws MalformedInputException {
+    private static Effect effect(Object word) throws SettingsException {
         if (word == null) {
             return Effect.UNSAFE;
         }
@@ -96,11 +104,11 @@
             case "free" -> Effect.REPEATABLE;
             case "guarded" -> Effect.KEYED;
             case "single_shot" -> Effect.UNSAFE;
-            default -> throw new MalformedInputException("unknown effect '" + word + "'");
+            default -> throw new SettingsException("unknown effect '" + word + "'");
         };
     }
 
-    private static KeyScope scope(Object word) throws MalformedInputException {
+    private static KeyScope scope(Object word) throws SettingsException {
         if (word == null) {
             return KeyScope.CELL;
         }
@@ -108,7 +116,7 @@
             case "all" -> KeyScope.ALL;
             case "zone" -> KeyScope.ZONE;
             case "cell" -> KeyScope.CELL;
-            default -> throw new MalformedInputException("unknown key_scope '" + word + "'");
+            default -> throw new SettingsException("unknown key_scope '" + word + "'");
         };
     }
 
@@ -126,11 +134,11 @@
         };
     }
 
-    private List<Map<String, Object>> objects(String field) throws MalformedInputException {
+    private List<Map<String, Object>> objects(String field) throws SettingsException {
         var found = new ArrayList<Map<String, Object>>();
         for (var each : list(env, field)) {
             if (!(each instanceof Map)) {
-                throw new MalformedInputException(field + " must be an array of objects");
+                throw new SettingsException(field + " must be an array of objects");
             }
             found.add(asObject(each));
         }
--- a/src/test/java/pipitladder/EmbedExampleTest.java
+++ b/decisions/src/test/java/pipitladder/EmbedExampleTest.java
@@ -40,7 +40,7 @@
 
     @Test
     void theReadmeShowsThisVeryExample() throws Exception {
-        var source = Files.readString(Path.of("src/test/java/pipitladder/EmbedExampleTest.java"));
+        var source = Files.readString(Path.of("decisions/src/test/java/pipitladder/EmbedExampleTest.java"));
         int begin = source.indexOf("// example begins\n") + "// example begins\n".length();
         var example = source.substring(begin, source.indexOf("    // example ends"));
         var shown = example.stripTrailing().stripIndent().strip();
