Give the program a command line on picocli, and the lab's jar the same with its own

The program knew three words and one line of usage. Cli is the root command: serve, rehearse, benchlink, completion, version, help; another module adds its own (the lab: lab). Faulty calls end with 2, say what was wrong and the nearest name. Main recognises the platform's three calls before any class of it is loaded.

--- a/app/src/main/java/ryemast/Main.java
+++ b/app/src/main/java/ryemast/Main.java
@@ -1,15 +1,19 @@
 package ryemast;
 
 import pipitladder.benchlink.BenchLinkCommand;
+import ryemast.cli.Cli;
 import ryemast.config.Config;
 import ryemast.config.ConfigException;
 
 /**
- * The command line: {@code serve} is the real dispatcher, {@code benchlink} the simulator's adapter, and
- * {@code rehearse} starts and ends the real one alone, so that the build can archive the classes it loads.
+ * Where the program begins. The three calls that a platform makes ({@code serve}, {@code rehearse} and
+ * {@code benchlink}, written exactly so) are recognised here and load no class of the command line, as its
+ * libraries would cost a restart some 0.1 s of its one core; every other call goes to {@link Cli}, which knows
+ * these three as well.
  */
 public final class Main {
 
+    private static final int DONE = 0;
     private static final int FAILED = 1;
     private static final int USAGE = 2;
 
@@ -17,32 +21,50 @@
     }
 
     public static void main(String[] args) {
-        if (args.length == 1 && args[0].equals("benchlink")) {
-            int code = BenchLinkCommand.run();
-            if (code != 0) {
-                System.exit(code);
-            }
-        } else if (args.length == 1 && args[0].equals("serve")) {
-            serve(false);
+        int code;
+        if (args.length == 1 && args[0].equals("serve")) {
+            code = serve(null);
+        } else if (args.length == 3 && args[0].equals("serve") && args[1].equals("--operator")) {
+            code = serve(args[2]);
         } else if (args.length == 1 && args[0].equals("rehearse")) {
-            serve(true);
+            code = rehearse();
+        } else if (args.length == 1 && args[0].equals("benchlink")) {
+            code = benchlink();
         } else {
-            System.err.println("usage: java -jar ryemast.jar serve|rehearse|benchlink");
-            System.exit(USAGE);
+            code = Cli.run(Cli.commandLine(), args);
         }
+        if (code != DONE) {
+            System.exit(code);
+        }
+    }
+
+    /** Serves until a signal ends it; {@code operator} names the operator file, or is null. */
+    public static int serve(String operator) {
+        return start(false, operator);
+    }
+
+    /** Starts the dispatcher alone and ends it, so that the build can archive the classes it loads. */
+    public static int rehearse() {
+        return start(true, null);
+    }
+
+    /** Speaks the simulator's wire on standard input and output until the input ends. */
+    public static int benchlink() {
+        return BenchLinkCommand.run();
     }
 
-    private static void serve(boolean alone) {
+    private static int start(boolean alone, String operator) {
         Logs.setUp();
         try {
             var service = new Service(alone ? Config.alone() : Config.read(System.getenv()));
             service.start(alone);
+            return DONE;
         } catch (ConfigException e) {
             System.err.println("ryemast: " + e.getMessage());
-            System.exit(USAGE);
+            return USAGE;
         } catch (Exception e) {
             System.err.println("ryemast: cannot start: " + e);
-            System.exit(FAILED);
+            return FAILED;
         }
     }
 }
--- a/app/src/test/java/ryemast/ArrowsTest.java
+++ b/app/src/test/java/ryemast/ArrowsTest.java
@@ -19,7 +19,7 @@
                 .layer("benchlink").definedBy("pipitladder.benchlink..")
                 .layer("core").definedBy("ryemast.core..")
                 .layer("net").definedBy("ryemast.net..")
-                .layer("app").definedBy("ryemast", "ryemast.config..")
+                .layer("app").definedBy("ryemast", "ryemast.cli..", "ryemast.config..")
                 .whereLayer("app").mayNotBeAccessedByAnyLayer()
                 .whereLayer("net").mayOnlyBeAccessedByLayers("app")
                 .whereLayer("core").mayOnlyBeAccessedByLayers("net", "app")
