--- a/app/src/main/java/ryemast/cli/Cli.java
+++ b/app/src/main/java/ryemast/cli/Cli.java
@@ -34,6 +34,8 @@
         root.addSubcommand(new ServeCommand())
                 .addSubcommand(new RehearseCommand())
                 .addSubcommand(new BenchlinkCommand())
+                .addSubcommand("setup", new LauncherCommand("Installs Java and Maven where they are missing."))
+                .addSubcommand("test", new LauncherCommand("Builds, and runs all checks that CI runs."))
                 .addSubcommand(new CompletionCommand())
                 .addSubcommand(new VersionCommand())
                 .addSubcommand(new HelpCommand());
