--- a/app/src/test/java/ryemast/ArrowsTest.java
+++ b/app/src/test/java/ryemast/ArrowsTest.java
@@ -19,7 +19,8 @@
                 .layer("benchlink").definedBy("pipitladder.benchlink..")
                 .layer("core").definedBy("ryemast.core..")
                 .layer("net").definedBy("ryemast.net..")
-                .layer("app").definedBy("ryemast", "ryemast.config..")
+                .layer("app").definedBy("ryemast", "ryemast.config..", "ryemast.toml..",
+                        "ryemast.operator..", "ryemast.cli..")
                 .whereLayer("app").mayNotBeAccessedByAnyLayer()
                 .whereLayer("net").mayOnlyBeAccessedByLayers("app")
                 .whereLayer("core").mayOnlyBeAccessedByLayers("net", "app")
