Let operators set the tuning values in a TOML file; write the log as JSON lines

What was constant in Service, the terminals, the regions and the service table's watch is handed in as small records with the same defaults; an operator file, if one is named, fills them after the platform's word. The file is checked whole: type, range with its reason, rules between keys, unknown keys. A start without one loads nothing of the parser. Log lines carry their figures as fields (Note); long runs of one kind are bounded.

--- a/app/src/main/java/ryemast/Main.java
+++ b/app/src/main/java/ryemast/Main.java
@@ -3,6 +3,8 @@
 import pipitladder.benchlink.BenchLinkCommand;
 import ryemast.config.Config;
 import ryemast.config.ConfigException;
+import ryemast.config.Tuning;
+import ryemast.operator.Operator;
 
 /**
  * The command line: {@code serve} is the real dispatcher, {@code benchlink} the simulator's adapter, and
@@ -33,9 +35,10 @@
     }
 
     private static void serve(boolean alone) {
-        Logs.setUp();
         try {
-            var service = new Service(alone ? Config.alone() : Config.read(System.getenv()));
+            var tuning = alone ? Tuning.DEFAULT : Operator.tuning(null, System.getenv());
+            Logs.setUp(tuning.log());
+            var service = new Service(alone ? Config.alone() : Config.read(System.getenv(), tuning));
             service.start(alone);
         } catch (ConfigException e) {
             System.err.println("ryemast: " + e.getMessage());
--- a/app/src/main/java/ryemast/Rehearsal.java
+++ b/app/src/main/java/ryemast/Rehearsal.java
@@ -40,7 +40,8 @@
         this.loop = loop;
         this.then = then;
         exchange = new Exchange(loop, new Brain(config.settings(), 0), 1, 1, 0);
-        pool = new RegionPool(loop, exchange, transport, worker -> self, SECOND, SECOND, SOCKETS);
+        pool = new RegionPool(loop, exchange, transport, worker -> self, SECOND, SECOND, SOCKETS,
+                config.tuning().regions());
         exchange.connect(this, () -> { });
         exchange.listed(ListKind.COMPLETE, List.of(new WorkerInfo(NAME, WorkerState.READY, 0, 0, 0, 1, 0)));
         var body = "{\"id\":\"" + NAME + "\",\"from\":\"" + NAME + "\",\"state\":\"done\",\"result\":\"\"}";
--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -8,6 +8,7 @@
 import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
+import ryemast.core.Note;
 import ryemast.net.Addresses;
 import ryemast.net.Transport;
 import ryemast.net.region.RegionPool;
@@ -20,16 +21,6 @@
 final class Service {
 
     private static final Logger LOG = Logger.getLogger(Service.class.getName());
-    /** Descriptors for all that is no connection: jar, standard streams, selectors, discovery. */
-    private static final int RESERVED_SOCKETS = 48;
-    private static final int REGIONS_SHARE = 3;
-    /** Of the connections to us, the part that jobs leave free, so that call-backs always get through. */
-    private static final int CALL_BACK_SHARE = 8;
-    /** After SIGTERM, clients still open connections and use the ones they have for a while. */
-    private static final long CLIENTS_COME = 450_000;
-    /** A connection this young may have been opened for a call-back that is on its way. */
-    private static final long REST = 100_000;
-    private static final long LEAST_DRAIN = 700_000;
     /** Guards against a rehearsal that fails: clients are let in without one. */
     private static final long LONGEST_REHEARSAL = 2_000_000;
     private static final long DRAIN_CHECK = 20_000;
@@ -46,19 +37,22 @@
         this.config = config;
         var settings = config.settings();
         loop = new Loop(new Clock()::now, settings.resolution());
-        int sockets = Math.max(2 * REGIONS_SHARE, config.sockets() - RESERVED_SOCKETS);
-        int regions = sockets / REGIONS_SHARE;
+        var tuning = config.tuning();
+        var limits = tuning.limits();
+        int sockets = Math.max(2 * limits.regionsShare(), config.sockets() - limits.reservedSockets());
+        int regions = sockets / limits.regionsShare();
         int terminalSockets = sockets - regions;
-        int forCallBacks = Math.max(1, terminalSockets / CALL_BACK_SHARE);
+        int forCallBacks = Math.max(1, terminalSockets / limits.callBackShare());
         int jobs = Math.min(config.maxOpen(), terminalSockets - forCallBacks);
         exchange = new Exchange(loop, new Brain(settings, config.seed()), jobs,
-                settings.limits().maxAttempts(), config.grace());
+                settings.limits().maxAttempts(), config.grace(), limits.namesRemembered());
         transport = new Transport();
-        table = new TableWatch(loop, exchange, transport, config.discovery(), config.tableReader());
+        table = new TableWatch(loop, exchange, transport, config.discovery(), config.tableReader(),
+                tuning.table());
         var pool = new RegionPool(loop, exchange, transport, table::address,
-                config.connectLimit(), config.connIdle(), regions);
+                config.connectLimit(), config.connIdle(), regions, tuning.regions());
         terminals = new TerminalServer(loop, exchange, transport,
-                new JobReader(config.lanes(), config.orgs()), terminalSockets);
+                new JobReader(config.lanes(), config.orgs()), terminalSockets, tuning.terminals());
         exchange.connect(pool, table);
     }
 
@@ -75,9 +69,11 @@
             loop.at(loop.now() + LONGEST_REHEARSAL, ready);
             new Rehearsal(config, loop, transport, address, ready);
         });
-        LOG.info(config.name() + " listens at " + Addresses.text(address));
+        Note.info(LOG, "{name} listens at {address}", "name", config.name(),
+                "address", Addresses.text(address));
         loop.run();
         terminals.stop();
+        Logs.end();
         System.exit(0);
     }
 
@@ -88,7 +84,7 @@
      */
     private synchronized void reload() {
         try {
-            var next = Config.readAgain(System.getenv());
+            var next = Config.readAgain(System.getenv(), config.tuning());
             loop.post(() -> table.moveTo(next.discovery()));
         } catch (ConfigException | RuntimeException e) {
             LOG.warning("the new configuration is not used: " + e.getMessage());
@@ -97,7 +93,7 @@
 
     private void drain() {
         if (drainingSince == 0) {
-            LOG.info("ending: " + exchange.open() + " transactions to answer");
+            Note.info(LOG, "ending: {open} transactions to answer", "open", exchange.open());
             drainingSince = loop.now();
             terminals.drain();
             endWhenQuiet();
@@ -106,10 +102,11 @@
 
     private void endWhenQuiet() {
         long since = loop.now() - drainingSince;
-        if (since >= CLIENTS_COME) {
-            terminals.closeResting(REST);
+        var ending = config.tuning().ending();
+        if (since >= ending.clientsCome()) {
+            terminals.closeResting(ending.rest());
         }
-        if (since >= LEAST_DRAIN && exchange.open() == 0 && terminals.isQuiet()) {
+        if (since >= ending.least() && exchange.open() == 0 && terminals.isQuiet()) {
             LOG.info("ended: all is answered");
             loop.end();
             return;
--- a/app/src/main/java/ryemast/config/Config.java
+++ b/app/src/main/java/ryemast/config/Config.java
@@ -30,16 +30,13 @@
  * @param connIdle  after how long a worker closes an idle connection, in microseconds
  * @param grace     how long after its deadline a request may still be answered, in microseconds
  * @param sockets   how many file descriptors the process may hold
+ * @param tuning    all that the platform has no word for
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, Settings settings, List<String> lanes, List<String> orgs, TableReader tableReader,
-        TableUpdate known, long connectLimit, long connIdle, int maxOpen, long grace) {
+        TableUpdate known, long connectLimit, long connIdle, int maxOpen, long grace, Tuning tuning) {
 
-    private static final int DEFAULT_SOCKETS = 1024;
-    private static final int LEAST_SOCKETS = 64;
-    private static final double DEFAULT_CONNECT_LIMIT = 250e3;
-    private static final double DEFAULT_CONN_IDLE = 5e6;
-    private static final double DEFAULT_GRACE = 20e3;
+    public static final int LEAST_SOCKETS = 64;
     private static final String ALONE = """
             {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:9",
              "known":{"version":1,"full":true,"servers":[
@@ -49,20 +46,31 @@
 
     /** For a start without clients, workers and discovery, at any port of this machine. */
     public static Config alone() throws ConfigException {
-        return new Reader(Map.of(), JsonParser.parseString(ALONE).getAsJsonObject()).config();
+        return new Reader(Map.of(), JsonParser.parseString(ALONE).getAsJsonObject(), Tuning.DEFAULT).config();
     }
 
     /** Reads what the environment points to, at the start. */
-    public static Config read(Map<String, String> environment) throws ConfigException {
-        return read(environment, false);
+    public static Config read(Map<String, String> environment, Tuning tuning) throws ConfigException {
+        return read(environment, tuning, false);
     }
 
     /** Reads it again: the address of discovery in the file is newer than the one given at the start. */
-    public static Config readAgain(Map<String, String> environment) throws ConfigException {
-        return read(environment, true);
+    public static Config readAgain(Map<String, String> environment, Tuning tuning) throws ConfigException {
+        return read(environment, tuning, true);
     }
 
-    private static Config read(Map<String, String> environment, boolean again) throws ConfigException {
+    private static Config read(Map<String, String> environment, Tuning tuning, boolean again)
+            throws ConfigException {
+        var file = json(environment);
+        var given = new HashMap<>(environment);
+        if (again && file.has("discovery")) {
+            given.remove("BALANCER_DISCOVERY");
+        }
+        return new Reader(given, file, tuning).config();
+    }
+
+    /** The platform's file as it is. */
+    public static JsonObject json(Map<String, String> environment) throws ConfigException {
         var path = environment.get("BALANCER_CONFIG");
         if (path == null || path.isEmpty()) {
             throw new ConfigException("BALANCER_CONFIG is not set");
@@ -78,16 +86,11 @@
         if (!json.isJsonObject()) {
             throw new ConfigException("BALANCER_CONFIG: " + path + " must hold a JSON object");
         }
-        var file = json.getAsJsonObject();
-        var given = new HashMap<>(environment);
-        if (again && file.has("discovery")) {
-            given.remove("BALANCER_DISCOVERY");
-        }
-        return new Reader(given, file).config();
+        return json.getAsJsonObject();
     }
 
     /** The keys of one file. */
-    private record Reader(Map<String, String> environment, JsonObject file) {
+    private record Reader(Map<String, String> environment, JsonObject file, Tuning tuning) {
 
         Config config() throws ConfigException {
             var raw = object(file, "settings", "settings");
@@ -96,21 +99,23 @@
             var allowed = optional(raw, "allowed", "settings.allowed");
             var obligations = optional(raw, "obligations", "settings.obligations");
             var limits = optional(file, "limits", "limits");
-            return new Config(name(), address("BALANCER_LISTEN", "listen"),
-                    address("BALANCER_DISCOVERY", "discovery"), seed(),
-                    (int) number(limits, "sockets", "limits.sockets", DEFAULT_SOCKETS, LEAST_SOCKETS),
+            var otherwise = tuning.unsaid();
+            return new Config(name(), address("BALANCER_LISTEN", "listen", otherwise.listen()),
+                    address("BALANCER_DISCOVERY", "discovery", otherwise.discovery()), seed(),
+                    (int) number(limits, "sockets", "limits.sockets", otherwise.sockets(), LEAST_SOCKETS),
                     settings, names(raw, "categories"), names(raw, "parties"), reader, known(reader),
                     (long) number(allowed, "connect_timeout", "settings.allowed.connect_timeout",
-                            DEFAULT_CONNECT_LIMIT, 1),
-                    (long) number(allowed, "conn_idle", "settings.allowed.conn_idle", DEFAULT_CONN_IDLE, 1),
-                    (int) number(allowed, "max_open", "settings.allowed.max_open", Integer.MAX_VALUE, 1),
+                            otherwise.connectLimit(), 1),
+                    (long) number(allowed, "conn_idle", "settings.allowed.conn_idle",
+                            otherwise.connIdle(), 1),
+                    (int) number(allowed, "max_open", "settings.allowed.max_open", otherwise.maxOpen(), 1),
                     (long) number(obligations, "grace_to_answer", "settings.obligations.grace_to_answer",
-                            DEFAULT_GRACE, 0));
+                            otherwise.grace(), 0), tuning);
         }
 
         private String name() throws ConfigException {
             var given = environment.get("BALANCER_NAME");
-            return given != null ? given : file.has("name") ? text("name") : "dispatcher";
+            return given != null ? given : file.has("name") ? text("name") : tuning.unsaid().name();
         }
 
         private Settings settings(JsonObject raw) throws ConfigException {
@@ -138,8 +143,12 @@
             }
         }
 
-        private InetSocketAddress address(String variable, String key) throws ConfigException {
+        private InetSocketAddress address(String variable, String key, InetSocketAddress otherwise)
+                throws ConfigException {
             var given = environment.get(variable);
+            if (given == null && otherwise != null && !file.has(key)) {
+                return otherwise;
+            }
             try {
                 return Addresses.parse(given != null ? given : text(key));
             } catch (IllegalArgumentException e) {
--- a/app/src/main/java/ryemast/config/ConfigException.java
+++ b/app/src/main/java/ryemast/config/ConfigException.java
@@ -5,7 +5,7 @@
 
     private static final long serialVersionUID = 1L;
 
-    ConfigException(String message) {
+    public ConfigException(String message) {
         super(message);
     }
 }
--- /dev/null
+++ b/app/src/main/java/ryemast/config/Tuning.java
@@ -0,0 +1,48 @@
+package ryemast.config;
+
+import java.net.InetSocketAddress;
+import ryemast.core.Exchange;
+import ryemast.log.LogTuning;
+import ryemast.net.region.RegionTuning;
+import ryemast.net.servicetable.TableTuning;
+import ryemast.net.terminal.TerminalTuning;
+
+/**
+ * What an operator may set, as the parts of the program use it. Times are in microseconds. It knows nothing
+ * of the file that it may come from, so that a start without one loads nothing for it.
+ */
+public record Tuning(Unsaid unsaid, Limits limits, TerminalTuning terminals, RegionTuning regions,
+        TableTuning table, Ending ending, LogTuning log) {
+
+    public static final Tuning DEFAULT = new Tuning(
+            new Unsaid("dispatcher", null, null, 1024, Integer.MAX_VALUE, 250_000, 5_000_000, 20_000),
+            new Limits(48, 3, 8, Exchange.NAMES), TerminalTuning.DEFAULT, RegionTuning.DEFAULT,
+            TableTuning.DEFAULT, new Ending(450_000, 100_000, 700_000), LogTuning.DEFAULT);
+
+    /** What holds where the platform says nothing; an address may be null, which then is a fault. */
+    public record Unsaid(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
+            int maxOpen, long connectLimit, long connIdle, long grace) {
+    }
+
+    /**
+     * How the sockets are shared out.
+     *
+     * @param reservedSockets  for all that is no connection: jar, standard streams, selectors, discovery
+     * @param regionsShare     one part in so many of the others is for connections to workers
+     * @param callBackShare    of the connections to us, one part in so many is one that jobs leave free, so
+     *                         that call-backs always get through
+     * @param namesRemembered  so many transactions' names can't be used again
+     */
+    public record Limits(int reservedSockets, int regionsShare, int callBackShare, int namesRemembered) {
+    }
+
+    /**
+     * How the program ends in order.
+     *
+     * @param clientsCome  after SIGTERM, clients still use connections, old ones and new, for so long
+     * @param rest         a connection this young may have been opened for a call-back that is on its way
+     * @param least        the program stays for so long at least
+     */
+    public record Ending(long clientsCome, long rest, long least) {
+    }
+}
--- /dev/null
+++ b/app/src/main/java/ryemast/operator/OperatorFile.java
@@ -0,0 +1,200 @@
+package ryemast.operator;
+
+import java.net.InetSocketAddress;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.logging.Level;
+import ryemast.config.ConfigException;
+import ryemast.config.Tuning;
+import ryemast.log.LogTuning;
+import ryemast.net.Addresses;
+import ryemast.net.region.RegionTuning;
+import ryemast.net.servicetable.TableTuning;
+import ryemast.net.terminal.TerminalTuning;
+import ryemast.toml.Faults;
+import ryemast.toml.FaultyFileException;
+import ryemast.toml.TomlTable;
+
+/**
+ * What one operator file says, complete and checked: a value for each key, and the line that it is from. A
+ * file with a fault anywhere gives none, so that no dispatcher runs with half of what its operator meant.
+ * Immutable.
+ *
+ * @param file    null where there is no file, and every value is the default
+ * @param values  one for each key
+ */
+public record OperatorFile(Path file, Map<Key, Value> values) {
+
+    static final int LONGEST_NAME = 100;
+    private static final long MICROS_PER_MS = 1000;
+    private static final long MS_PER_S = 1000;
+
+    /**
+     * @param value  a {@link Long} in the key's unit, or a {@link String}
+     * @param line   0 for a default
+     */
+    public record Value(Object value, int line) {
+    }
+
+    public OperatorFile {
+        values = Collections.unmodifiableMap(new EnumMap<>(values));
+    }
+
+    /** All defaults. */
+    public static OperatorFile none() {
+        var values = new EnumMap<Key, Value>(Key.class);
+        for (var key : Key.values()) {
+            values.put(key, new Value(key.otherwise(), 0));
+        }
+        return new OperatorFile(null, values);
+    }
+
+    /** Reads and checks a file; the exception tells all its faults. */
+    public static OperatorFile read(Path file) throws FaultyFileException {
+        var faults = new Faults();
+        var root = TomlTable.read(file, faults);
+        var found = root == null ? none() : new Reader(root, faults).read(file);
+        faults.raise();
+        return found;
+    }
+
+    /** The same for a start of the program, which tells of faults as of those in its other configuration. */
+    static Tuning tuning(String path) throws ConfigException {
+        try {
+            return read(Path.of(path)).tuning();
+        } catch (FaultyFileException e) {
+            throw new ConfigException("not started, as the operator file is at fault:\n" + e.getMessage());
+        } catch (InvalidPathException e) {
+            throw new ConfigException("not started, as the operator file can have no such path: "
+                    + e.getMessage());
+        }
+    }
+
+    /** How many keys the file sets. */
+    public long count() {
+        return values.values().stream().filter(value -> value.line > 0).count();
+    }
+
+    public Tuning tuning() {
+        int maxOpen = whole(Key.MAX_OPEN);
+        return new Tuning(
+                new Tuning.Unsaid(text(Key.NAME), address(Key.LISTEN), address(Key.DISCOVERY),
+                        whole(Key.SOCKETS), maxOpen == 0 ? Integer.MAX_VALUE : maxOpen,
+                        micros(Key.CONNECT_LIMIT_MS), micros(Key.REGION_IDLE_LIMIT_MS), micros(Key.GRACE_MS)),
+                new Tuning.Limits(whole(Key.RESERVED_SOCKETS), whole(Key.REGIONS_SHARE),
+                        whole(Key.CALL_BACK_SHARE), whole(Key.NAMES_REMEMBERED)),
+                new TerminalTuning(micros(Key.LONGEST_REQUEST_MS), micros(Key.TERMINAL_IDLE_LIMIT_S),
+                        micros(Key.LINGER_MS), micros(Key.YOUNG_MS), whole(Key.FREE_SHARE),
+                        whole(Key.BACKLOG)),
+                new RegionTuning(micros(Key.LEAST_REST_MS), micros(Key.FORGIVING_S),
+                        micros(Key.PATIENCE_MS)),
+                new TableTuning(micros(Key.SILENCE_MS), whole(Key.TABLE_CONNECT_LIMIT_MS),
+                        whole(Key.LONGEST_LINE_BYTES)),
+                new Tuning.Ending(micros(Key.CLIENTS_COME_MS), micros(Key.REST_MS), micros(Key.LEAST_MS)),
+                new LogTuning(text(Key.FORMAT).equals("json"),
+                        Level.parse(text(Key.LEVEL).toUpperCase(Locale.ROOT)), whole(Key.REPEAT_LIMIT),
+                        micros(Key.REPEAT_WINDOW_S) / MICROS_PER_MS));
+    }
+
+    private String text(Key key) {
+        return (String) values.get(key).value;
+    }
+
+    private long number(Key key) {
+        return (Long) values.get(key).value;
+    }
+
+    /** For a key whose range lies within what an int holds. */
+    private int whole(Key key) {
+        return Math.toIntExact(number(key));
+    }
+
+    private long micros(Key key) {
+        return number(key) * MICROS_PER_MS * (key.unit().equals("s") ? MS_PER_S : 1);
+    }
+
+    private InetSocketAddress address(Key key) {
+        return text(key).isEmpty() ? null : Addresses.parse(text(key));
+    }
+
+    /** Goes through one file key by key. */
+    private static final class Reader {
+        private final TomlTable root;
+        private final Faults faults;
+        private final Map<String, TomlTable> sections = new HashMap<>();
+        private final Map<Key, Value> values = new EnumMap<>(Key.class);
+        /** Keys whose values will not do; what depends on them is not checked. */
+        private final Map<Key, Boolean> faulty = new EnumMap<>(Key.class);
+
+        Reader(TomlTable root, Faults faults) {
+            this.root = root;
+            this.faults = faults;
+        }
+
+        OperatorFile read(Path file) {
+            for (var key : Key.values()) {
+                var section = sections.computeIfAbsent(key.section(), root::table);
+                int before = faults.count();
+                var value = value(section, key);
+                boolean own = section.has(key.inSection());
+                values.put(key, new Value(value, own ? section.line(key.inSection()) : 0));
+                faulty.put(key, faults.count() > before);
+            }
+            for (var rule : Rule.values()) {
+                if (!faulty.get(rule.one) && !faulty.get(rule.other)) {
+                    check(rule);
+                }
+            }
+            root.done();
+            return new OperatorFile(file, values);
+        }
+
+        private static Object value(TomlTable section, Key key) {
+            var name = key.inSection();
+            if (key.kind() == Key.Kind.WHOLE) {
+                return section.whole(name, (Long) key.otherwise(), key.least(), key.most(), key.expected());
+            } else if (key.kind() == Key.Kind.WORD) {
+                return section.oneOf(name, (String) key.otherwise(), key.words());
+            }
+            var text = section.text(name, (String) key.otherwise(), key.expected());
+            if (section.has(name) && !(key.kind() == Key.Kind.NAME ? isName(text) : isAddress(text))) {
+                section.wrong(name, key.expected());
+            }
+            return text;
+        }
+
+        private static boolean isName(String text) {
+            return !text.isBlank() && text.length() <= LONGEST_NAME
+                    && text.codePoints().noneMatch(Character::isISOControl);
+        }
+
+        private static boolean isAddress(String text) {
+            try {
+                return Addresses.parse(text) != null;
+            } catch (IllegalArgumentException e) {
+                return false;
+            }
+        }
+
+        /** A broken rule is told at the key that the file sets; at the first of them if it sets both. */
+        private void check(Rule rule) {
+            var one = values.get(rule.one);
+            var other = values.get(rule.other);
+            if (rule.holds(one.value, other.value)) {
+                return;
+            }
+            boolean atOther = one.line == 0;
+            var at = atOther ? rule.other : rule.one;
+            var against = atOther ? rule.one : rule.other;
+            var from = values.get(against).line == 0 ? "the default" : "line " + values.get(against).line;
+            sections.get(at.section()).complain(at.inSection(), "is " + values.get(at).value
+                    + ", against " + against.path() + " = " + values.get(against).value + " (" + from
+                    + "); expected " + rule.expected);
+        }
+    }
+}
--- /dev/null
+++ b/app/src/main/java/ryemast/operator/Rule.java
@@ -0,0 +1,48 @@
+package ryemast.operator;
+
+import java.util.function.BiPredicate;
+
+/** What two keys' values must be to one another; each in its own unit. */
+enum Rule {
+    ADDRESSES(Key.LISTEN, Key.DISCOVERY, (listen, discovery) -> listen.toString().isEmpty()
+            || !listen.equals(discovery), "two addresses, as discovery is another program"),
+    SOCKETS_SUFFICE(Key.SOCKETS, Key.RESERVED_SOCKETS, (sockets, reserved) ->
+            number(sockets) - number(reserved) >= 32,
+            "limits.sockets to be 32 above limits.reserved_sockets, as connections need the others"),
+    REQUEST_WITHIN_IDLE(Key.LONGEST_REQUEST_MS, Key.TERMINAL_IDLE_LIMIT_S, (request, idle) ->
+            number(request) <= 1000 * number(idle),
+            "terminals.longest_request_ms within terminals.idle_limit_s, which would end the request first"),
+    YOUNG_WITHIN_REQUEST(Key.YOUNG_MS, Key.LONGEST_REQUEST_MS, (young, request) ->
+            number(young) <= number(request),
+            "terminals.young_ms within terminals.longest_request_ms, after which silence ends a connection"),
+    REST_WITHIN_IDLE(Key.LEAST_REST_MS, Key.REGION_IDLE_LIMIT_MS, (rest, idle) ->
+            4 * number(rest) <= 3 * number(idle),
+            "regions.least_rest_ms within three quarters of regions.idle_limit_ms, the longest rest"),
+    CONNECT_WITHIN_SILENCE(Key.TABLE_CONNECT_LIMIT_MS, Key.SILENCE_MS, (connect, silence) ->
+            number(connect) < number(silence),
+            "service_table.connect_limit_ms below service_table.silence_ms, which ends a connecting one"),
+    CLIENTS_WITHIN_LEAST(Key.CLIENTS_COME_MS, Key.LEAST_MS, (come, least) -> number(come) <= number(least),
+            "end.clients_come_ms within end.least_ms, as the program may be gone after that"),
+    REST_WITHIN_LEAST(Key.REST_MS, Key.LEAST_MS, (rest, least) -> number(rest) <= number(least),
+            "end.rest_ms within end.least_ms, as the program may be gone after that");
+
+    final Key one;
+    final Key other;
+    final String expected;
+    private final BiPredicate<Object, Object> relation;
+
+    Rule(Key one, Key other, BiPredicate<Object, Object> relation, String expected) {
+        this.one = one;
+        this.other = other;
+        this.relation = relation;
+        this.expected = expected;
+    }
+
+    boolean holds(Object first, Object second) {
+        return relation.test(first, second);
+    }
+
+    private static long number(Object value) {
+        return (Long) value;
+    }
+}
--- a/app/src/main/java/ryemast/toml/Faults.java
+++ b/app/src/main/java/ryemast/toml/Faults.java
@@ -37,6 +37,11 @@
         return !faults.isEmpty();
     }
 
+    /** How many there are; for a reader that wants to know whether the last value was one. */
+    public int count() {
+        return faults.size();
+    }
+
     /** One line a fault, file by file. */
     public List<String> lines() {
         return faults.stream().sorted(Comparator.comparingInt((Fault each) -> files.indexOf(each.file))
--- a/app/src/main/java/ryemast/toml/TomlTable.java
+++ b/app/src/main/java/ryemast/toml/TomlTable.java
@@ -70,11 +70,16 @@
     }
 
     public String text(String key, String otherwise) {
+        return text(key, otherwise, "a text in quotes");
+    }
+
+    /** {@code expected}: what to say in place of merely a text. */
+    public String text(String key, String otherwise, String expected) {
         var value = ask(key);
         if (value == null || value instanceof String) {
             return value == null ? otherwise : (String) value;
         }
-        return wrong(key, value, "a text in quotes", otherwise);
+        return wrong(key, value, expected, otherwise);
     }
 
     /** One of some words. */
@@ -106,11 +111,16 @@
     }
 
     public long whole(String key, long otherwise, long least, long most) {
+        return whole(key, otherwise, least, most, "a whole number " + Values.between(least, most));
+    }
+
+    /** {@code expected}: what to say in place of the two ends, such as a unit or the reason for the range. */
+    public long whole(String key, long otherwise, long least, long most, String expected) {
         var value = ask(key);
         if (value == null || value instanceof Long found && found >= least && found <= most) {
             return value == null ? otherwise : (Long) value;
         }
-        return wrong(key, value, "a whole number " + Values.between(least, most), otherwise);
+        return wrong(key, value, expected, otherwise);
     }
 
     /** One number, which is both ends, or {@code [low, high]}. */
@@ -207,6 +217,11 @@
         faults.add(file, key.isEmpty() ? ownLine : line(key), key.isEmpty() ? path : full(key), what);
     }
 
+    /** Tells that the value there is, whatever it is, is not what was expected. */
+    public void wrong(String key, String expected) {
+        wrong(key, get(key), expected, null);
+    }
+
     /** Every key never asked for is one nobody knows, here and in all tables that were asked for. */
     public void done() {
         for (var key : keys()) {
--- a/app/src/test/java/ryemast/config/ConfigTest.java
+++ b/app/src/test/java/ryemast/config/ConfigTest.java
@@ -27,7 +27,7 @@
         var file = folder.resolve("config.json");
         Files.writeString(file, json.replace('\'', '"'));
         return Config.read(more.length == 0 ? Map.of("BALANCER_CONFIG", file.toString())
-                : Map.of("BALANCER_CONFIG", file.toString(), more[0], more[1]));
+                : Map.of("BALANCER_CONFIG", file.toString(), more[0], more[1]), Tuning.DEFAULT);
     }
 
     private void complains(String about, String json, String... more) {
@@ -62,17 +62,17 @@
         var given = Map.of("BALANCER_CONFIG", file.toString(), "BALANCER_DISCOVERY", "127.0.0.1:9",
                 "BALANCER_LISTEN", "127.0.0.1:10");
         Files.writeString(file, VALID.replace('\'', '"'));
-        assertEquals(9, Config.read(given).discovery().getPort());
-        assertEquals(8500, Config.readAgain(given).discovery().getPort());
-        assertEquals(10, Config.readAgain(given).listen().getPort());
+        assertEquals(9, Config.read(given, Tuning.DEFAULT).discovery().getPort());
+        assertEquals(8500, Config.readAgain(given, Tuning.DEFAULT).discovery().getPort());
+        assertEquals(10, Config.readAgain(given, Tuning.DEFAULT).listen().getPort());
         Files.writeString(file, VALID.replace('\'', '"').replace("discovery", "other"));
-        assertEquals(9, Config.readAgain(given).discovery().getPort());
+        assertEquals(9, Config.readAgain(given, Tuning.DEFAULT).discovery().getPort());
     }
 
     @Test
     void theFaultyKeyIsNamed() {
-        assertTrue(assertThrows(ConfigException.class, () -> Config.read(Map.of())).getMessage()
-                .startsWith("BALANCER_CONFIG"));
+        var unset = assertThrows(ConfigException.class, () -> Config.read(Map.of(), Tuning.DEFAULT));
+        assertTrue(unset.getMessage().startsWith("BALANCER_CONFIG"));
         complains("BALANCER_CONFIG", "{");
         complains("BALANCER_CONFIG", "[]");
         complains("listen", VALID.replace("127.0.0.1:0", "some.host:1"));
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -38,14 +38,15 @@
 public final class Exchange {
 
     private static final Logger LOG = Logger.getLogger(Exchange.class.getName());
-    /** So many names are remembered: at the busiest, those of a minute or more. */
-    private static final int NAMES = 4096;
+    /** So many names are remembered by default: at the busiest, those of a minute or more. */
+    public static final int NAMES = 4096;
 
     private final Loop loop;
     private final Dispatcher module;
     private final int maxOpen;
     private final int maxAttempts;
     private final long grace;
+    private final int names;
     private Region region;
     private ServiceTable serviceTable;
     private final Map<String, Transaction> byTxn = new HashMap<>();
@@ -64,11 +65,17 @@
      * @param grace        how long after the deadline an answer still counts, in microseconds
      */
     public Exchange(Loop loop, Dispatcher module, int maxOpen, int maxAttempts, long grace) {
+        this(loop, module, maxOpen, maxAttempts, grace, NAMES);
+    }
+
+    /** {@code names}: how many transactions' names are remembered, so that none is used twice. */
+    public Exchange(Loop loop, Dispatcher module, int maxOpen, int maxAttempts, long grace, int names) {
         this.loop = loop;
         this.module = module;
         this.maxOpen = maxOpen;
         this.maxAttempts = maxAttempts;
         this.grace = grace;
+        this.names = names;
         loop.settleWith(this::settle);
     }
 
@@ -108,7 +115,7 @@
         open++;
         byTxn.put(submission.txn(), transaction);
         lastNames.add(submission.txn());
-        if (lastNames.size() > NAMES) {
+        if (lastNames.size() > names) {
             lastNames.remove(lastNames.iterator().next());
         }
         byNumber.put(transaction.number, transaction);
@@ -143,7 +150,10 @@
     public void calledBack(CallBack call) {
         var task = meant(call);
         if (task == null) {
-            LOG.fine(() -> "call-back for nothing that is open: " + call.txn() + " " + call.state());
+            if (LOG.isLoggable(Level.FINE)) {
+                Note.log(LOG, Level.FINE, null, "call-back for nothing that is open: {txn} {state}",
+                        "txn", call.txn(), "state", call.state(), "worker", call.from());
+            }
             return;
         }
         switch (call.state()) {
@@ -240,7 +250,8 @@
     /** Guards a client against an answer that the module forgot, as after a bug: it fails in time. */
     private void overdue(Transaction transaction) {
         if (!transaction.answered) {
-            LOG.severe("no final answer for " + transaction.submission.txn() + " by its deadline");
+            Note.log(LOG, Level.SEVERE, null, "no final answer for {txn} by its deadline",
+                    "txn", transaction.submission.txn());
             failForModule(transaction);
         }
     }
@@ -258,7 +269,7 @@
             try {
                 module.handle(loop.now(), event, actions::add);
             } catch (RuntimeException | StackOverflowError e) {
-                LOG.log(Level.SEVERE, "the module failed on " + event, e);
+                Note.log(LOG, Level.SEVERE, e, "the module failed on {event}", "event", event);
                 if (event instanceof Request request && byNumber.containsKey(request.id())) {
                     failForModule(byNumber.get(request.id()));
                 }
@@ -301,7 +312,8 @@
     /** A time-out is cut at the client's deadline, so that the module can still answer in time. */
     private void send(Transaction transaction, Send send) {
         if (transaction == null) {
-            LOG.warning("a send for a transaction that is over: " + send);
+            Note.warning(LOG, "a send for a transaction that is over: {send}", "send", send,
+                    "worker", send.worker());
             return;
         }
         long deadline = transaction.submission.deadline();
--- a/net/src/main/java/ryemast/net/region/Call.java
+++ b/net/src/main/java/ryemast/net/region/Call.java
@@ -4,6 +4,7 @@
 import org.apache.mina.core.future.WriteFuture;
 import pipitladder.Dispatcher.Outcome;
 import ryemast.core.Exchange;
+import ryemast.core.Note;
 import ryemast.core.RoutedTask;
 import ryemast.net.http.HttpHead;
 import ryemast.net.http.HttpMessage;
@@ -12,8 +13,6 @@
 final class Call {
 
     private static final Logger LOG = Logger.getLogger(Call.class.getName());
-    /** How long an answer is awaited that no routed task waits for any more. */
-    private static final long PATIENCE = 2_000_000;
     private static final int TAKEN = 202;
     private static final int FAULT_OF_REQUEST = 400;
     private static final int ERROR = 500;
@@ -40,8 +39,9 @@
         writing = future;
     }
 
-    boolean overdue(long now) {
-        return (task == null || task.ended()) && now - startedAt > PATIENCE;
+    /** Whether an answer that nobody waits for has been awaited for longer than {@code patience}. */
+    boolean overdue(long now, long patience) {
+        return (task == null || task.ended()) && now - startedAt > patience;
     }
 
     /** The connection ended without an answer, or never came up. */
@@ -65,7 +65,8 @@
             return;
         }
         if (!turnedAway && status != ERROR && !task.ended()) {
-            LOG.warning(task.worker() + " answered " + status + " to " + task.submission().txn());
+            Note.warning(LOG, "{worker} answered {status} to {txn}", "worker", task.worker(),
+                    "status", status, "txn", task.submission().txn());
         }
         // Guards workers against a bad client: what its request is answered with says nothing of the worker.
         boolean unusable = status >= FAULT_OF_REQUEST && status < ERROR;
--- a/net/src/main/java/ryemast/net/region/RegionPool.java
+++ b/net/src/main/java/ryemast/net/region/RegionPool.java
@@ -18,6 +18,7 @@
 import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
+import ryemast.core.Note;
 import ryemast.core.Region;
 import ryemast.core.RoutedTask;
 import ryemast.net.Addresses;
@@ -36,15 +37,12 @@
 
     private static final Logger LOG = Logger.getLogger(RegionPool.class.getName());
     private static final long SWEEP = 250_000;
-    /** However little connections last, what has rested for less is used again. */
-    private static final long LEAST_REST = 25_000;
-    /** After so long without a break at the next use, connections may rest for twice as long again. */
-    private static final long FORGIVING = 30_000_000;
 
     private final Loop loop;
     private final Exchange exchange;
     private final Function<String, InetSocketAddress> addresses;
     private final NioSocketConnector connector;
+    private final RegionTuning tuning;
     private final long connectLimit;
     private final long idleLimit;
     /** The rest that connections are known to outlast: a part of the one after which one was found broken. */
@@ -63,7 +61,8 @@
      * @param most          how many connections may be open at once
      */
     public RegionPool(Loop loop, Exchange exchange, Transport transport,
-            Function<String, InetSocketAddress> addresses, long connectLimit, long connIdle, int most) {
+            Function<String, InetSocketAddress> addresses, long connectLimit, long connIdle, int most,
+            RegionTuning tuning) {
         this.loop = loop;
         this.exchange = exchange;
         this.addresses = addresses;
@@ -72,6 +71,7 @@
         this.idleLimit = connIdle * 3 / 4;
         this.restLimit = idleLimit;
         this.most = most;
+        this.tuning = tuning;
         connector = transport.connector(HttpCodec.responses(), new LinkHandler(loop));
     }
 
@@ -124,7 +124,9 @@
             return connection;
         }
         if (open.size() >= most && !dropOldestIdle()) {
-            LOG.warning("no socket left for a call to " + Addresses.text(address));
+            Note.warning(LOG, "no socket left for a call to {address}", "address", Addresses.text(address),
+                    "worker", task == null ? null : task.worker(),
+                    "txn", task == null ? null : task.submission().txn());
             call.broke();
             return null;
         }
@@ -147,9 +149,10 @@
      * them long before the settings say: a job written to one ends as a reset, and may not be repeated.
      */
     private void brokeAfter(long rest) {
-        restLimit = Math.max(LEAST_REST, Math.min(restLimit, rest / 2));
+        restLimit = Math.max(tuning.leastRest(), Math.min(restLimit, rest / 2));
         restLimitSince = loop.now();
-        LOG.info("a connection broke at its next use; from now on they rest " + restLimit / 1000 + " ms");
+        Note.info(LOG, "a connection broke at its next use; from now on they rest {rest_ms} ms",
+                "rest_ms", restLimit / 1000);
     }
 
     /** Guards the limit on sockets: an idle connection makes room. */
@@ -161,13 +164,13 @@
     }
 
     private void sweep() {
-        if (restLimit < idleLimit && loop.now() - restLimitSince > FORGIVING) {
+        if (restLimit < idleLimit && loop.now() - restLimitSince > tuning.forgiving()) {
             restLimit = Math.min(idleLimit, 2 * restLimit);
             restLimitSince = loop.now();
         }
         for (var connection : new ArrayList<>(open)) {
             if (connection.call == null && rested(connection) > restLimit
-                    || connection.call != null && connection.call.overdue(loop.now())) {
+                    || connection.call != null && connection.call.overdue(loop.now(), tuning.patience())) {
                 connection.close();
             }
         }
--- a/net/src/main/java/ryemast/net/servicetable/TableWatch.java
+++ b/net/src/main/java/ryemast/net/servicetable/TableWatch.java
@@ -14,6 +14,7 @@
 import pipitladder.Dispatcher.WorkerInfo;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
+import ryemast.core.Note;
 import ryemast.core.ServiceTable;
 import ryemast.net.Addresses;
 import ryemast.net.Link;
@@ -28,15 +29,11 @@
 public final class TableWatch implements ServiceTable {
 
     private static final Logger LOG = Logger.getLogger(TableWatch.class.getName());
-    /** A watch speaks every 2 s; this long without a word, several beats are missing. */
-    private static final long SILENCE = 6_500_000;
-    private static final long CONNECT_LIMIT_MS = 5_000;
-    /** Guards the memory against a line without end: some thousand workers fit. */
-    private static final int MAX_LINE = 1 << 20;
 
     private final Loop loop;
     private final Exchange exchange;
     private final TableReader reader;
+    private final TableTuning tuning;
     private final NioSocketConnector connector;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private InetSocketAddress discovery;
@@ -44,13 +41,14 @@
     private Watch watch;
 
     public TableWatch(Loop loop, Exchange exchange, Transport transport, InetSocketAddress discovery,
-            TableReader reader) {
+            TableReader reader, TableTuning tuning) {
         this.loop = loop;
         this.exchange = exchange;
         this.discovery = discovery;
         this.reader = reader;
+        this.tuning = tuning;
         connector = transport.connector(HttpCodec.stream(), new LinkHandler(loop));
-        connector.setConnectTimeoutMillis(CONNECT_LIMIT_MS);
+        connector.setConnectTimeoutMillis(tuning.connectLimitMs());
     }
 
     /** The list as it was last known, before discovery has been asked. */
@@ -80,7 +78,8 @@
      */
     public void moveTo(InetSocketAddress address) {
         if (!address.equals(discovery)) {
-            LOG.info("the service table is at " + Addresses.text(address) + " from now on");
+            Note.info(LOG, "the service table is at {address} from now on",
+                    "address", Addresses.text(address));
             discovery = address;
             version = 0;
             watch();
@@ -133,7 +132,8 @@
         /** Every failure and every end of a watch is told to the module, which decides when to ask again. */
         void fail(String why) {
             if (watch == this) {
-                LOG.warning("the watch on the service table failed: " + why);
+                Note.warning(LOG, "the watch on the service table failed: {why}", "why", why,
+                        "address", Addresses.text(discovery));
                 watch = null;
                 close();
                 exchange.listed(ListKind.FAILED, List.of());
@@ -142,7 +142,7 @@
 
         private void heard() {
             alarm.run();
-            alarm = loop.at(loop.now() + SILENCE, () -> fail("silence"));
+            alarm = loop.at(loop.now() + tuning.silence(), () -> fail("silence"));
         }
 
         @Override
@@ -172,8 +172,8 @@
         private void take(byte next) {
             if (next != '\n') {
                 line.write(next);
-                if (line.size() > MAX_LINE) {
-                    fail("a line of over " + MAX_LINE + " bytes");
+                if (line.size() > tuning.longestLine()) {
+                    fail("a line of over " + tuning.longestLine() + " bytes");
                     line.reset();
                 }
                 return;
--- a/net/src/main/java/ryemast/net/terminal/TerminalConnection.java
+++ b/net/src/main/java/ryemast/net/terminal/TerminalConnection.java
@@ -21,10 +21,6 @@
 
     private static final Logger LOG = Logger.getLogger(TerminalConnection.class.getName());
     private static final double MICROS_PER_S = 1e6;
-    /** How long a client may take to read the answer to what could not be taken. */
-    private static final long LINGER = 1_000_000;
-    /** A request must be whole this long after its first byte, the first one after the connection's start. */
-    private static final long LONGEST_REQUEST = 2_000_000;
 
     private final TerminalServer server;
     private final IoSession session;
@@ -217,14 +213,14 @@
         write(answer);
         restingSince = server.loop.now();
         server.rests(this, true);
-        server.loop.at(server.loop.now() + LINGER, session::closeNow);
+        server.loop.at(server.loop.now() + server.tuning.linger(), session::closeNow);
     }
 
     /** Guards the sockets against clients that say nothing, or never end; for one between two requests. */
     void checkPace() {
         long inside = HttpCodec.insideFor(session);
         long rested = server.loop.now() - restingSince;
-        if (closing || (silent ? rested : Math.min(rested, inside)) < LONGEST_REQUEST) {
+        if (closing || (silent ? rested : Math.min(rested, inside)) < server.tuning.longestRequest()) {
             return;
         }
         if (inside > 0) {
--- a/net/src/main/java/ryemast/net/terminal/TerminalServer.java
+++ b/net/src/main/java/ryemast/net/terminal/TerminalServer.java
@@ -22,18 +22,13 @@
 /** The address that clients and the workers' call-backs come to, and the connections made to it. */
 public final class TerminalServer {
 
-    private static final int BACKLOG = 1024;
     private static final long SWEEP = 250_000;
-    private static final long IDLE_LIMIT = 300_000_000;
     private static final long FULL_PAUSE_MS = 1;
-    /** This part of the connections is kept free, so that a newcomer need not wait until one has ended. */
-    private static final int FREE_SHARE = 16;
-    /** What a newcomer has sent along with its connection is read and known this soon. */
-    private static final long YOUNG = 50_000;
 
     final Loop loop;
     final Exchange exchange;
     final JobReader jobs;
+    final TerminalTuning tuning;
     private final NioSocketAcceptor acceptor;
     private final int most;
     private final AtomicInteger accepted = new AtomicInteger();
@@ -49,14 +44,16 @@
     private boolean draining;
 
     /** {@code most}: how many connections may be open at once. */
-    public TerminalServer(Loop loop, Exchange exchange, Transport transport, JobReader jobs, int most) {
+    public TerminalServer(Loop loop, Exchange exchange, Transport transport, JobReader jobs, int most,
+            TerminalTuning tuning) {
         this.loop = loop;
         this.exchange = exchange;
         this.jobs = jobs;
         this.most = most;
+        this.tuning = tuning;
         acceptor = new Acceptor(transport.processor());
         acceptor.setReuseAddress(true);
-        acceptor.setBacklog(BACKLOG);
+        acceptor.setBacklog(tuning.backlog());
         Transport.setUp(acceptor.getSessionConfig(), acceptor.getFilterChain(), HttpCodec.requests());
         acceptor.setHandler(new Handler());
         loop.at(loop.now() + SWEEP, this::sweep);
@@ -137,7 +134,7 @@
     }
 
     private void sweep() {
-        closeResting(IDLE_LIMIT);
+        closeResting(tuning.idleLimit());
         betweenRequests().forEach(TerminalConnection::checkPace);
         loop.at(loop.now() + SWEEP, this::sweep);
     }
@@ -149,9 +146,9 @@
      */
     private void makeRoom() {
         int staying = open.size() - leaving.size();
-        long over = staying - (most - Math.max(1, most / FREE_SHARE));
+        long over = staying - (most - Math.max(1, most / tuning.freeShare()));
         if (over > 0) {
-            strangers.stream().filter(each -> restedFor(each, YOUNG)).limit(over).toList()
+            strangers.stream().filter(each -> restedFor(each, tuning.young())).limit(over).toList()
                     .forEach(TerminalConnection::close);
         }
         if (staying >= most && strangers.isEmpty()) {
