--- a/app/src/main/java/ryemast/cli/Cli.java
+++ b/app/src/main/java/ryemast/cli/Cli.java
@@ -10,12 +10,14 @@
 import picocli.CommandLine.ParseResult;
 import picocli.CommandLine.ScopeType;
 import picocli.CommandLine.UnmatchedArgumentException;
+import ryemast.toml.FaultyFileException;
 
 /**
- * The command line, on picocli. Guarantees that every call ends with 0 (done), 1 (it failed) or 2 (the call, or a
- * file it names, is at fault), that a faulty call is answered on standard error by what was wrong, the nearest
- * names there are and where to read on, and that every subcommand, one added by another module too, has
- * {@code --help}. What the subcommands do is their own business; a subcommand that throws has failed.
+ * The command line, on picocli. Guarantees that every call ends with 0 (done), 1 (it failed) or 2 (the
+ * call, or a file it names, is at fault), that a faulty call is answered on standard error by what was
+ * wrong, the nearest names there are and where to read on, and that every subcommand, one added by another
+ * module too, has {@code --help}. What the subcommands do is their own business; one that throws has
+ * failed, or, where it throws a {@link FaultyFileException}, was called with a faulty file.
  */
 @Command(name = "ryemast", mixinStandardHelpOptions = true, versionProvider = Cli.Version.class,
         scope = ScopeType.INHERIT, exitCodeListHeading = "%nExit codes:%n",
@@ -34,7 +36,9 @@
         root.addSubcommand(new ServeCommand())
                 .addSubcommand(new RehearseCommand())
                 .addSubcommand(new BenchlinkCommand())
-                .addSubcommand("setup", new LauncherCommand("Installs Java and Maven where they are missing."))
+                .addSubcommand(new CheckCommand())
+                .addSubcommand(new ConfigCommand())
+                .addSubcommand("setup", new LauncherCommand("Installs what is missing: Java, Maven."))
                 .addSubcommand("test", new LauncherCommand("Builds, and runs all checks that CI runs."))
                 .addSubcommand(new CompletionCommand())
                 .addSubcommand(new VersionCommand())
@@ -74,9 +78,14 @@
         return e.getMessage();
     }
 
-    /** A fault that the program foresees says all in its message; any other is a bug, and shows where it is. */
+    /** A fault that was foreseen says all in its message; any other is a bug, and shows where it is. */
     private static int failed(Exception e, CommandLine command, ParseResult call) {
         PrintWriter err = command.getErr();
+        if (e instanceof FaultyFileException) {
+            err.println(e.getMessage());
+            err.flush();
+            return ExitCode.USAGE;
+        }
         if (e instanceof RuntimeException) {
             e.printStackTrace(err);
         }
--- a/app/src/main/java/ryemast/cli/CompletionCommand.java
+++ b/app/src/main/java/ryemast/cli/CompletionCommand.java
@@ -7,8 +7,9 @@
 import picocli.CommandLine.Spec;
 
 /**
- * {@code completion}: a script for a shell, made by picocli from the very commands that the program has, so that it
- * can't fall behind them. One script serves both shells: under zsh it loads that shell's support for bash's.
+ * {@code completion}: a script for a shell, made by picocli from the very commands that the program has, so
+ * that it can't fall behind them. One script serves both shells: under zsh it loads that shell's support
+ * for bash's.
  */
 @Command(name = "completion", description = {"Prints a script that completes commands and options.",
     "In bash and in zsh: source <(./ryemast completion)"})
@@ -16,7 +17,8 @@
 
     private enum Shell { bash, zsh }
 
-    @Parameters(arity = "0..1", paramLabel = "SHELL", description = "${COMPLETION-CANDIDATES}; both get the same.")
+    @Parameters(arity = "0..1", paramLabel = "SHELL",
+            description = "${COMPLETION-CANDIDATES}; both get the same.")
     private Shell shell;
 
     @Spec
--- a/app/src/main/java/ryemast/cli/LauncherCommand.java
+++ b/app/src/main/java/ryemast/cli/LauncherCommand.java
@@ -7,8 +7,8 @@
 import picocli.CommandLine.Spec;
 
 /**
- * A command that the launcher carries out before any Java runs. It stands here so that help and completion know it;
- * it is only reached where the jar is called without the launcher.
+ * A command that the launcher carries out before any Java runs. It stands here so that help and completion
+ * know it; it is only reached where the jar is called without the launcher.
  */
 @Command
 final class LauncherCommand implements Callable<Integer> {
--- a/app/src/test/java/ryemast/cli/CliTest.java
+++ b/app/src/test/java/ryemast/cli/CliTest.java
@@ -1,16 +1,20 @@
 package ryemast.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import picocli.CommandLine.Command;
+import ryemast.toml.Faults;
+import ryemast.toml.FaultyFileException;
 
 class CliTest {
 
@@ -60,7 +64,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"serve", "rehearse", "benchlink", "setup", "test", "completion", "version",
+    @CsvSource({"serve", "rehearse", "benchlink", "check", "config", "setup", "test", "completion", "version",
         "help", "other"})
     void everyCommandHasHelpWithTheExitCodes(String command) {
         assertEquals(0, run(null, command, "--help"));
@@ -78,6 +82,16 @@
         assertEquals("ryemast: other failed: disk full", err.toString().strip());
     }
 
+    @Test
+    void aFaultyFileIsTheCallsFault() {
+        var faults = new Faults();
+        faults.add(Path.of("a.toml"), 3, "key", "wrong; expected another");
+        assertEquals(2, run(assertThrows(FaultyFileException.class, faults::raise), "other"));
+        assertEquals(2, run(null, "check", "/nowhere/a.toml"));
+        assertTrue(err.toString().startsWith("a.toml:3: key: wrong; expected another"), err.toString());
+        assertTrue(err.toString().contains("/nowhere/a.toml"), err.toString());
+    }
+
     @Test
     void aBugShowsWhereItIs() {
         assertEquals(1, run(new IllegalStateException("a bug"), "other"));
