--- a/app/src/main/java/ryemast/operator/OperatorFile.java
+++ b/app/src/main/java/ryemast/operator/OperatorFile.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -150,6 +151,8 @@
                     check(rule);
                 }
             }
+            misplaced(root, "");
+            sections.forEach((name, section) -> misplaced(section, name));
             root.done();
             return new OperatorFile(file, values);
         }
@@ -181,6 +184,17 @@
             }
         }
 
+        /** A key that is known, but in another section, is told to belong there. */
+        private static void misplaced(TomlTable table, String section) {
+            for (var name : table.keys()) {
+                var homes = Arrays.stream(Key.values()).filter(key -> key.inSection().equals(name)).toList();
+                if (!homes.isEmpty() && homes.stream().noneMatch(key -> key.section().equals(section))
+                        && table.has(name)) {
+                    table.complain(name, "has its place elsewhere; expected " + homes.get(0).path());
+                }
+            }
+        }
+
         /** A broken rule is told at the key that the file sets; at the first of them if it sets both. */
         private void check(Rule rule) {
             var one = values.get(rule.one);
