--- a/app/src/test/java/ryemast/it/Platform.java
+++ b/app/src/test/java/ryemast/it/Platform.java
@@ -14,11 +14,13 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 
 /** The packaged program between scripted workers, a scripted discovery and clients. */
 final class Platform implements Closeable {
 
     private static final long PATIENCE_S = 20;
+    private static final Pattern LISTENS = Pattern.compile("listens at 127\\.0\\.0\\.1:([0-9]+)");
     private static final String SETTINGS = """
             {"resolution":5000,"registry_mode":"subscribe","fleet_size":1,"models":["m"],"areas":["z"],
              "allowed":{"max_attempts":5,"second_copies":true,"cancelling":true,"conn_idle":5000000,
@@ -37,6 +39,7 @@
     final Peer discovery = new Peer(this::table);
     final Queue<String> log = new ConcurrentLinkedQueue<>();
     private final Path folder = Files.createTempDirectory("ryemast-it");
+    private final Path operatorFile;
     private final String config;
     private Process program;
     private volatile String states;
@@ -51,7 +54,16 @@
 
     /** {@code firstStates}: what the list says of the first and the second worker. */
     Platform(String maxOpen, int sockets, String firstStates) throws Exception {
+        this(maxOpen, sockets, firstStates, null);
+    }
+
+    /** {@code operator}: what the operator file says; null for none. */
+    Platform(String maxOpen, int sockets, String firstStates, String operator) throws Exception {
         states = firstStates;
+        operatorFile = folder.resolve("operator.toml");
+        if (operator != null) {
+            Files.writeString(operatorFile, operator);
+        }
         config = "{\"name\":\"it\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
                 + "\",\"seed\":\"5\",\"limits\":{\"sockets\":" + sockets + "},\"known\":" + table(40, true)
                 + ",\"settings\":" + SETTINGS.replace("MAX_OPEN", maxOpen) + "}";
@@ -94,6 +106,9 @@
         builder.environment().put("BALANCER_DISCOVERY", discovery.address());
         builder.environment().put("BALANCER_CONFIG",
                 Files.writeString(folder.resolve("config.json"), config).toString());
+        if (Files.exists(operatorFile)) {
+            builder.environment().put("RYEMAST_OPERATOR", operatorFile.toString());
+        }
         var process = builder.redirectErrorStream(true).start();
         var reader = new Thread(() -> follow(process.inputReader()));
         reader.setDaemon(true);
@@ -104,10 +119,9 @@
     private void follow(BufferedReader output) {
         output.lines().forEach(line -> {
             log.add(line);
-            int at = line.indexOf("listens at 127.0.0.1:");
-            if (at > 0) {
-                var port = line.substring(line.lastIndexOf(':') + 1);
-                address = new InetSocketAddress("127.0.0.1", Integer.parseInt(port));
+            var port = LISTENS.matcher(line);
+            if (port.find()) {
+                address = new InetSocketAddress("127.0.0.1", Integer.parseInt(port.group(1)));
             }
         });
     }
@@ -269,6 +283,7 @@
         two.close();
         discovery.close();
         Files.deleteIfExists(folder.resolve("config.json"));
+        Files.deleteIfExists(operatorFile);
         Files.deleteIfExists(folder);
     }
 }
