--- a/app/src/main/java/ryemast/operator/Key.java
+++ b/app/src/main/java/ryemast/operator/Key.java
@@ -17,7 +17,7 @@
 
     SOCKETS("limits.sockets", 1024, 64, 1 << 20, "fewer leave no room beside the program's own descriptors",
             "File descriptors the process may hold. Only where the platform gives no limit."),
-    RESERVED_SOCKETS("limits.reserved_sockets", 48, 32, 4096, "the program itself holds some thirty",
+    RESERVED_SOCKETS("limits.reserved_sockets", 48, 32, 4096, "the program itself holds some twenty",
             "Of these, kept for all that is no connection: files, selectors, discovery."),
     MAX_OPEN("limits.max_open", 0, 0, 1_000_000, "each open job takes memory",
             "Jobs open at once; 0 for as many as there are sockets. Only where the platform gives no limit."),
