--- a/lab/src/main/java/ryemast/lab/books/Books.java
+++ b/lab/src/main/java/ryemast/lab/books/Books.java
@@ -37,6 +37,11 @@
     /** A try's last byte is written to a dispatcher. */
     void asked(Try sent, int dispatcher, long at);
 
+    /** As {@link #asked(Try, int, long)}; {@code body}: what it bears, by {@link Fingerprint}. */
+    default void asked(Try sent, int dispatcher, long at, long body) {
+        asked(sent, dispatcher, at);
+    }
+
     /** A whole answer has come; {@code result} is its body. */
     void told(String txn, long at, int status, long retryAfter, String result);
 
@@ -49,6 +54,11 @@
     /** A request has arrived whole at a box; {@code txn} null: it bore no name. */
     void arrived(int box, int dispatcher, String txn, long firstByteAt, long at);
 
+    /** As {@link #arrived(int, int, String, long, long)}; {@code body}: by {@link Fingerprint}. */
+    default void arrived(int box, int dispatcher, String txn, long firstByteAt, long at, long body) {
+        arrived(box, dispatcher, txn, firstByteAt, at);
+    }
+
     void replied(int box, int dispatcher, String txn, long at, Reply reply);
 
     /** It runs from now on. */
@@ -57,6 +67,13 @@
     /** Its end at a box; {@code work}: what was done of it, {@code result}: what it made, or null. */
     void ended(int box, int dispatcher, String txn, long at, End end, double work, String result);
 
+    /**
+     * A dispatcher gives an attempt up: it asks the box to cancel it, or its connection ends before the box
+     * has replied. Whether the box then stops the work is a matter of {@link #ended}.
+     */
+    default void givenUp(int box, int dispatcher, String txn, long at) {
+    }
+
     /** The truth about a box; {@code capacity}: work in a microsecond, as of now. */
     void box(int box, long at, BoxState state, double capacity);
 
@@ -68,6 +85,9 @@
 
     void dispatcher(int dispatcher, long at, DispatcherState state);
 
-    /** The emulator itself was late with something by so many microseconds. */
+    /**
+     * The emulator itself was late with something by so many microseconds. To be told of each step that was
+     * due at a time, also of those that were on time: the share that was late counts.
+     */
     void late(long at, long by);
 }
--- a/lab/src/main/java/ryemast/lab/books/Tries.java
+++ b/lab/src/main/java/ryemast/lab/books/Tries.java
@@ -1,5 +1,7 @@
 package ryemast.lab.books;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -20,4 +22,9 @@
     public Try find(String txn) {
         return sent.get(txn);
     }
+
+    /** All that were ever sent, or were to be; it grows as long as clients send. */
+    public Collection<Try> all() {
+        return Collections.unmodifiableCollection(sent.values());
+    }
 }
