--- a/lab/src/main/java/ryemast/lab/books/Attempt.java
+++ b/lab/src/main/java/ryemast/lab/books/Attempt.java
@@ -38,9 +38,9 @@
         return end == End.RETURNED && !began() ? endedAt : NEVER;
     }
 
-    /** From when on a dispatcher does not wait for it any more. */
+    /** From when on nobody can wait for it any more: the box has said so, or was told so, or can't answer. */
     public long overAt() {
-        long replied = reply == null || reply == Reply.TAKEN || reply == Reply.NONE ? NEVER : repliedAt;
+        long replied = reply == null || reply == Reply.TAKEN ? NEVER : repliedAt;
         return Math.min(replied, Math.min(endedAt, givenUpAt));
     }
 }
