--- a/lab/src/main/java/ryemast/lab/books/Lives.java
+++ b/lab/src/main/java/ryemast/lab/books/Lives.java
@@ -57,6 +57,19 @@
         return paused;
     }
 
+    /** When a limit that began to run at {@code from} is over, as it stands while the dispatcher does. */
+    long standing(int dispatcher, long from, long dueAt) {
+        long due = dueAt;
+        for (Life life : lives.getOrDefault(dispatcher, List.of())) {
+            for (long[] pause : life.pauses) {
+                if (pause[0] < due && pause[1] > from) {
+                    due = pause[1] == Attempt.NEVER ? Attempt.NEVER : due + pause[1] - Math.max(from, pause[0]);
+                }
+            }
+        }
+        return due;
+    }
+
     private static List<Life> read(List<History.DispatcherAt> states) {
         List<Life> lives = new ArrayList<>();
         long from = Long.MIN_VALUE;
--- a/lab/src/main/java/ryemast/lab/books/OneAnswer.java
+++ b/lab/src/main/java/ryemast/lab/books/OneAnswer.java
@@ -26,7 +26,7 @@
         Lives lives = new Lives(history);
         for (JobStory job : history.jobs()) {
             for (TryStory story : job.tries()) {
-                if (story.lastAsked() != null) {
+                if (story.answer() != null || !story.asked().isEmpty()) {
                     judge(scenario, history, lives, story, broken);
                 }
             }
@@ -37,7 +37,9 @@
             Consumer<Breach> broken) {
         TryStory.Asked asked = story.lastAsked();
         long dueAt = story.sentTry().until() + scenario.rules().graceToAnswer() + Rule.SLACK;
-        dueAt += lives.pausedWithin(asked.dispatcher(), asked.at(), dueAt);
+        if (asked != null) {
+            dueAt = lives.standing(asked.dispatcher(), asked.at(), dueAt);
+        }
         if (story.answer() != null) {
             answered(story, dueAt, broken);
             return;
@@ -90,7 +92,8 @@
     }
 
     private static Breach breach(TryStory story, long at, String what) {
-        return new Breach(Rule.ONE_ANSWER, at, story.txn(), -1, story.lastAsked().dispatcher(),
+        int dispatcher = story.asked().isEmpty() ? -1 : story.lastAsked().dispatcher();
+        return new Breach(Rule.ONE_ANSWER, at, story.txn(), -1, dispatcher,
                 "Request " + story.txn() + " was lost: " + what + ".");
     }
 }
--- a/lab/src/main/java/ryemast/lab/books/Reckoning.java
+++ b/lab/src/main/java/ryemast/lab/books/Reckoning.java
@@ -73,8 +73,8 @@
         double usual = lateMs(ALL_BUT_A_THOUSANDTH);
         double most = lateMs(100);
         if (usual > USUAL / MILLI) {
-            doubts.add("the emulator was often late: one step in a thousand by more than %.1f ms, and %.0f ms is "
-                    .formatted(usual, USUAL / MILLI) + "the limit");
+            doubts.add(String.format(Locale.ROOT, "the emulator was often late: one step in a thousand by more than "
+                    + "%.1f ms, and %.0f ms is the limit", usual, USUAL / MILLI));
         }
         if (most > ONCE / MILLI) {
             doubts.add("the emulator stood still once for %.0f ms, and %.0f ms is the limit"
--- a/lab/src/main/java/ryemast/lab/books/TryStory.java
+++ b/lab/src/main/java/ryemast/lab/books/TryStory.java
@@ -1,7 +1,6 @@
 package ryemast.lab.books;
 
 import java.util.List;
-import java.util.OptionalLong;
 
 /**
  * All that is known of one try, put together from the books.
@@ -83,8 +82,4 @@
         }
         return null;
     }
-
-    public OptionalLong firstAskedAt() {
-        return asked.stream().mapToLong(Asked::at).min();
-    }
 }
