--- a/lab/src/main/java/ryemast/lab/books/ColdBoxes.java
+++ b/lab/src/main/java/ryemast/lab/books/ColdBoxes.java
@@ -63,8 +63,9 @@
         if (all > 0 && knowing >= all * (KNOWING - ROUNDING)) {
             int most = known.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
             broken.accept(new Breach(Rule.COLD, fellAt, null, box, most,
-                    ("Cold box %s was pushed over %d ms after its start: %.0f%% of the %.0f ms of work that reached "
-                            + "it in the last %d ms came from dispatchers that knew of the start.").formatted(
+                    ("Cold box %s was pushed over %d ms after its start: %.0f%% of the %.0f ms of work that "
+                            + "reached it in the last %d ms came from dispatchers that knew of the start.")
+                            .formatted(
                             scenario.boxes().get(box).id(), (fellAt - startedAt) / 1_000, 100 * knowing / all,
                             all / 1_000, scenario.rules().fallWindow() / 1_000)));
         }
--- a/lab/src/main/java/ryemast/lab/books/Entry.java
+++ b/lab/src/main/java/ryemast/lab/books/Entry.java
@@ -34,7 +34,8 @@
     record Broke(String txn, long at, boolean sent) implements OfTry {
     }
 
-    record Arrived(int box, int dispatcher, String txn, long firstByteAt, long at, long body) implements AtBox {
+    record Arrived(int box, int dispatcher, String txn, long firstByteAt, long at, long body)
+            implements AtBox {
     }
 
     record Replied(int box, int dispatcher, String txn, long at, Reply reply) implements AtBox {
--- a/lab/src/main/java/ryemast/lab/books/Fingerprint.java
+++ b/lab/src/main/java/ryemast/lab/books/Fingerprint.java
@@ -4,7 +4,8 @@
 
 /**
  * Bodies and results as the books keep them: 64 bits in place of the text, so that millions of them take
- * no room. Two texts that differ look alike once in 2^64 (FNV-1a, as in RFC 9923; nobody here forges one on purpose).
+ * no room. Two texts that differ look alike once in 2^64 (FNV-1a, RFC 9923), and nobody here forges one on
+ * purpose.
  */
 public final class Fingerprint {
 
--- a/lab/src/main/java/ryemast/lab/books/Historian.java
+++ b/lab/src/main/java/ryemast/lab/books/Historian.java
@@ -68,7 +68,8 @@
         strangers.sort(Comparator.comparingLong(History.Stranger::at));
         boxes.values().forEach(states -> states.sort(Comparator.comparingLong(History.BoxAt::at)));
         listings.values().forEach(list -> list.sort(Comparator.comparingLong(History.Listing::at)));
-        dispatchers.values().forEach(states -> states.sort(Comparator.comparingLong(History.DispatcherAt::at)));
+        dispatchers.values().forEach(
+                states -> states.sort(Comparator.comparingLong(History.DispatcherAt::at)));
         boolean any = beganAt <= endedAt;
         return new History(List.copyOf(jobs), List.copyOf(strangers), boxes, listings, dispatchers, lateness,
                 any ? beganAt : 0, any ? endedAt : 0);
@@ -76,7 +77,8 @@
 
     private TryStory story(Try sent) {
         List<Entry.OfTry> lines = new ArrayList<>(ofTries.getOrDefault(sent.txn(), List.of()));
-        lines.sort(Comparator.comparingLong((Entry.OfTry line) -> line.at()).thenComparingInt(Historian::rank));
+        lines.sort(Comparator.comparingLong((Entry.OfTry line) -> line.at())
+                .thenComparingInt(Historian::rank));
         List<TryStory.Asked> asked = new ArrayList<>(1);
         TryStory.Answer answer = null;
         int answers = 0;
--- a/lab/src/main/java/ryemast/lab/books/History.java
+++ b/lab/src/main/java/ryemast/lab/books/History.java
@@ -32,7 +32,7 @@
     public record BoxAt(long at, BoxState state, double capacity) {
     }
 
-    /** An entry of discovery's list; {@code dispatcher}: whom it was written to, -1: it could be from now on. */
+    /** An entry of discovery's list; {@code dispatcher}: whom it was written to, -1: it can be now. */
     public record Listing(int dispatcher, long at, BoxState state, long startedAt) {
         public boolean listable() {
             return dispatcher < 0;
--- a/lab/src/main/java/ryemast/lab/books/Judge.java
+++ b/lab/src/main/java/ryemast/lab/books/Judge.java
@@ -17,8 +17,8 @@
  */
 public final class Judge {
 
-    private static final List<Law> LAWS = List.of(new OneAnswer(), new NoEffectTwice(), new NothingToDraining(),
-            new ColdBoxes(), new NoStrangers(), new StayAlive());
+    private static final List<Law> LAWS = List.of(new OneAnswer(), new NoEffectTwice(),
+            new NothingToDraining(), new ColdBoxes(), new NoStrangers(), new StayAlive());
 
     private Judge() {
     }
@@ -48,7 +48,8 @@
         Lives lives = new Lives(history);
         Map<Fault, Integer> runs = new EnumMap<>(Fault.class);
         for (JobStory job : history.jobs()) {
-            if (scenario.classes().get(job.job().jobClass()).effect() == Effect.SINGLE_SHOT && job.runs() > 1) {
+            if (scenario.classes().get(job.job().jobClass()).effect() == Effect.SINGLE_SHOT
+                    && job.runs() > 1) {
                 runs.merge(fault(job, wronged, lives), 1, Integer::sum);
             }
         }
--- a/lab/src/main/java/ryemast/lab/books/Lives.java
+++ b/lab/src/main/java/ryemast/lab/books/Lives.java
@@ -63,7 +63,8 @@
         for (Life life : lives.getOrDefault(dispatcher, List.of())) {
             for (long[] pause : life.pauses) {
                 if (pause[0] < due && pause[1] > from) {
-                    due = pause[1] == Attempt.NEVER ? Attempt.NEVER : due + pause[1] - Math.max(from, pause[0]);
+                    long stood = pause[1] - Math.max(from, pause[0]);
+                    due = pause[1] == Attempt.NEVER ? Attempt.NEVER : due + stood;
                 }
             }
         }
--- a/lab/src/main/java/ryemast/lab/books/NoEffectTwice.java
+++ b/lab/src/main/java/ryemast/lab/books/NoEffectTwice.java
@@ -57,7 +57,8 @@
         }
         for (Attempt attempt : story.attempts()) {
             if (attempt.provedUnrunAt() > story.answer().at() + Rule.STAMPS_APART) {
-                return breach(story, attempt, story.answer().at(), "was refused, which says that trying again "
+                return breach(story, attempt, story.answer().at(),
+                        "was refused, which says that trying again "
                         + "is harmless, though it " + (attempt.began() ? "ran" : "may have run") + " at "
                         + id(scenario, attempt));
             }
--- a/lab/src/main/java/ryemast/lab/books/NoStrangers.java
+++ b/lab/src/main/java/ryemast/lab/books/NoStrangers.java
@@ -29,7 +29,8 @@
                     && story.asked().stream().noneMatch(asked -> asked.body() == Fingerprint.UNKNOWN);
             if (known && story.asked().stream().noneMatch(asked -> asked.body() == attempt.body())) {
                 broken.accept(new Breach(Rule.STRANGER, attempt.at(), story.txn(), attempt.box(),
-                        attempt.dispatcher(), "Box %s got request %s with a body that its client has not sent."
+                        attempt.dispatcher(),
+                        "Box %s got request %s with a body that its client has not sent."
                         .formatted(scenario.boxes().get(attempt.box()).id(), story.txn())));
             }
         }
--- a/lab/src/main/java/ryemast/lab/books/NothingToDraining.java
+++ b/lab/src/main/java/ryemast/lab/books/NothingToDraining.java
@@ -7,8 +7,8 @@
 
 /**
  * No request's first byte reaches a box later than the grace and 50 ms after its dispatcher was told, or
- * counts as told, that the box drains or is gone, until it is told that the box is ready again. The grace does
- * not run while the scenario lets the dispatcher stand still.
+ * counts as told, that the box drains or is gone, until it is told that the box is ready again. The grace
+ * does not run while the scenario lets the dispatcher stand still.
  */
 final class NothingToDraining implements Law {
 
@@ -31,10 +31,10 @@
             long after = at - since - lives.pausedWithin(attempt.dispatcher(), since, at);
             if (after > grace) {
                 broken.accept(new Breach(Rule.DRAIN, at, sent.story().txn(), attempt.box(),
-                        attempt.dispatcher(), "Request %s was sent to %s %d ms after dispatcher %d was told that "
-                        .formatted(sent.story().txn(), scenario.boxes().get(attempt.box()).id(), after / 1_000,
-                                attempt.dispatcher()) + "this box drains or is gone; the grace is "
-                        + scenario.rules().drainGrace() / 1_000 + " ms."));
+                        attempt.dispatcher(), ("Request %s was sent to %s %d ms after dispatcher %d was told "
+                        + "that this box drains or is gone; the grace is %d ms.").formatted(
+                                sent.story().txn(), scenario.boxes().get(attempt.box()).id(), after / 1_000,
+                                attempt.dispatcher(), scenario.rules().drainGrace() / 1_000)));
             }
         }
     }
--- a/lab/src/main/java/ryemast/lab/books/OneAnswer.java
+++ b/lab/src/main/java/ryemast/lab/books/OneAnswer.java
@@ -86,7 +86,8 @@
             broken.accept(breach(story, life.until(), "its dispatcher was told to end and did so without "
                     + "answering it"));
         } else if (life.toldAt() != Attempt.NEVER && askedAt > life.toldAt() + TAKEN_WHILE_ENDING) {
-            broken.accept(breach(story, life.until(), "it was taken %d ms after its dispatcher was told to end, "
+            broken.accept(breach(story, life.until(),
+                    "it was taken %d ms after its dispatcher was told to end, "
                     .formatted((askedAt - life.toldAt()) / 1_000) + "and not answered before it was killed"));
         }
     }
--- a/lab/src/main/java/ryemast/lab/books/Reckoning.java
+++ b/lab/src/main/java/ryemast/lab/books/Reckoning.java
@@ -60,12 +60,13 @@
         RunResult.Outcomes ofTries = outcomes(tries.stream().map(TryStory::outcome).toList());
         RunResult.Outcomes ofJobs = outcomes(jobs.stream().map(job -> job.story().outcome()).toList());
         return new RunResult(scenario.name(), scenario.title(), scenario.seed(), doubts.isEmpty(), doubts,
-                interrupted, note, (history.endedAt() - history.beganAt()) / SECOND, all.asked(), all.served(),
-                all.refused(), all.failed(), all.left(), ofJobs.unanswered(), ofTries, service.service(), service,
-                verdict.broken(), brokenBy(verdict), breaches(verdict), doubleRuns(verdict), all.latencyMs(),
+                interrupted, note, (history.endedAt() - history.beganAt()) / SECOND, all.asked(),
+                all.served(), all.refused(), all.failed(), all.left(), ofJobs.unanswered(), ofTries,
+                service.service(), service, verdict.broken(), brokenBy(verdict), breaches(verdict),
+                doubleRuns(verdict), all.latencyMs(),
                 cpuPerJob(), memory(), lateMs(ALL_BUT_A_THOUSANDTH), lateMs(100),
-                all.asked() == 0 ? 0 : (double) attempts() / all.asked(), secondCopies(), byClass(), byTenant(),
-                byBox(), windows(), faults(), dispatchers());
+                all.asked() == 0 ? 0 : (double) attempts() / all.asked(), secondCopies(), byClass(),
+                byTenant(), byBox(), windows(), faults(), dispatchers());
     }
 
     private List<String> doubts(Verdict verdict) {
@@ -73,15 +74,15 @@
         double usual = lateMs(ALL_BUT_A_THOUSANDTH);
         double most = lateMs(100);
         if (usual > USUAL / MILLI) {
-            doubts.add(String.format(Locale.ROOT, "the emulator was often late: one step in a thousand by more than "
-                    + "%.1f ms, and %.0f ms is the limit", usual, USUAL / MILLI));
+            doubts.add(String.format(Locale.ROOT, "the emulator was often late: one step in a thousand by "
+                    + "more than %.1f ms, and %.0f ms is the limit", usual, USUAL / MILLI));
         }
         if (most > ONCE / MILLI) {
             doubts.add("the emulator stood still once for %.0f ms, and %.0f ms is the limit"
                     .formatted(most, ONCE / MILLI));
         } else if (verdict.broken() > 0 && most > Rule.SLACK / MILLI) {
-            doubts.add(("a rule was broken, but the emulator was once late by %.0f ms; from %.0f ms on that may be "
-                    + "the cause").formatted(most, Rule.SLACK / MILLI));
+            doubts.add(("a rule was broken, but the emulator was once late by %.0f ms; from %.0f ms on that "
+                    + "may be the cause").formatted(most, Rule.SLACK / MILLI));
         }
         return List.copyOf(doubts);
     }
@@ -96,7 +97,8 @@
         outcomes.forEach(outcome -> counts.merge(outcome, 1L, Long::sum));
         long unanswered = counts.getOrDefault(Outcome.UNANSWERED, 0L);
         return new RunResult.Outcomes(outcomes.size(), counts.getOrDefault(Outcome.SERVED, 0L),
-                counts.getOrDefault(Outcome.REFUSED, 0L), counts.getOrDefault(Outcome.FAILED, 0L) + unanswered,
+                counts.getOrDefault(Outcome.REFUSED, 0L),
+                counts.getOrDefault(Outcome.FAILED, 0L) + unanswered,
                 counts.getOrDefault(Outcome.LEFT, 0L), unanswered);
     }
 
@@ -217,8 +219,9 @@
         for (Fault fault : scenario.faults()) {
             if (fault.at() <= history.endedAt() - history.beganAt()) {
                 rows.add(new RunResult.FaultRow(fault.kind().name().toLowerCase(Locale.ROOT),
-                        fault.at() / SECOND, fault.lasts() / SECOND, fault.targets(), fault.jobClass() < 0 ? null
-                        : scenario.classes().get(fault.jobClass()).name(), fault.share(), fault.size()));
+                        fault.at() / SECOND, fault.lasts() / SECOND, fault.targets(),
+                        fault.jobClass() < 0 ? null : scenario.classes().get(fault.jobClass()).name(),
+                        fault.share(), fault.size()));
             }
         }
         return rows;
@@ -262,8 +265,8 @@
 
     private List<RunResult.DispatcherRow> dispatchers() {
         return stats.stream().map(s -> new RunResult.DispatcherRow(s.number(), known(s.cpuMicros() / MILLI),
-                known(s.rssPeakMb()), known(s.readyMicros() / MILLI), known(s.readyCpuMicros() / MILLI), s.alive(),
-                s.died(), s.exitCode(), s.lastLines())).toList();
+                known(s.rssPeakMb()), known(s.readyMicros() / MILLI), known(s.readyCpuMicros() / MILLI),
+                s.alive(), s.died(), s.exitCode(), s.lastLines())).toList();
     }
 
     private static Double known(double figure) {
--- a/lab/src/main/java/ryemast/lab/books/Rule.java
+++ b/lab/src/main/java/ryemast/lab/books/Rule.java
@@ -3,7 +3,8 @@
 /** What a dispatcher must keep to, as the platform's rules and figures have it. */
 public enum Rule {
     ONE_ANSWER("answer", "every request taken is answered once, in time, with what a box made for it"),
-    NO_EFFECT_TWICE("effect", "nothing that must not run twice is sent twice or refused once it may have run"),
+    NO_EFFECT_TWICE("effect",
+            "nothing that must not run twice is sent twice or refused once it may have run"),
     DRAIN("drain", "nothing new goes to a box that is known to drain or to be gone"),
     COLD("cold", "a cold box is not pushed over by those who know that it is cold"),
     STRANGER("stranger", "nothing reaches a box that no client has sent"),
--- a/lab/src/main/java/ryemast/lab/books/RunResult.java
+++ b/lab/src/main/java/ryemast/lab/books/RunResult.java
@@ -15,8 +15,8 @@
  *
  * <p>Jobs count once, by how their last try ended: served + refused + failed + left = asked. Latencies are
  * those of served jobs, from when the first try was due, whether or not it could leave then, until the answer
- * was there whole; so waiting that the emulated clients or their retries add is in them, and nothing has to be
- * corrected for coordinated omission.
+ * was there whole; so waiting that the emulated clients or their retries add is in them, and nothing has to
+ * be corrected for coordinated omission.
  *
  * @param scenario         its name
  * @param counts           false: the emulator was too late for the figures to be the dispatcher's
@@ -72,7 +72,8 @@
     }
 
     /** {@code atS}: since the books' first entry. */
-    public record BreachRow(String rule, double atS, String txn, String box, Integer dispatcher, String what) {
+    public record BreachRow(String rule, double atS, String txn, String box, Integer dispatcher,
+            String what) {
     }
 
     public record DispatcherRow(int number, Double cpuMs, Double rssMb, Double readyMs, Double readyCpuMs,
--- a/lab/src/main/java/ryemast/lab/books/ServiceMeasure.java
+++ b/lab/src/main/java/ryemast/lab/books/ServiceMeasure.java
@@ -13,10 +13,10 @@
  * How well a run served: worth answered in time over worth asked for, in the whole run, its worst window, its
  * worst class and its worst tenant, mixed by the goal's weights, less the prices of late failures and waste.
  *
- * <p>A job's worth is its class's times its work; over its tenant's share, only a part of that. It counts once,
- * over all its tries, from when its first try was due: in time, if a 200 was there within the class's aim plus
- * the stretch times its work, and before its deadline; later than that it earns its class's late worth. A job
- * that is still open when the books end is unserved.
+ * <p>A job's worth is its class's times its work; over its tenant's share, only a part of that. It counts
+ * once, over all its tries, from when its first try was due: in time, if a 200 was there within the class's
+ * aim plus the stretch times its work, and before its deadline; later than that it earns its class's late
+ * worth. A job that is still open when the books end is unserved.
  *
  * <p>A part that nothing was asked of (no tenants, a class without jobs) does not count; where no tenant has
  * jobs within its share, the whole run stands for the worst tenant. Without any job all figures are 0.
@@ -25,8 +25,8 @@
  * @param worstWindow  the least over windows of the goal's length that begin a second apart; a shorter run is
  *                     one window
  * @param worstTenant  by jobs within their tenant's share only
- * @param lateFail     worth that was never served and whose aim had passed before its client's last word, as a
- *                     part of the worth asked for
+ * @param lateFail     worth that was never served and whose aim had passed before its client's last word, as
+ *                     a part of the worth asked for
  * @param waste        work done at boxes that served nobody, as a part of the work asked for
  * @param worthAsked   in seconds of work times worth
  */
--- a/lab/src/main/java/ryemast/lab/books/Shares.java
+++ b/lab/src/main/java/ryemast/lab/books/Shares.java
@@ -3,9 +3,10 @@
 import ryemast.lab.scenario.Scenario;
 
 /**
- * Which jobs lie within their tenant's share, seen over all dispatchers: a token bucket for each tenant with a
- * quota, filled at the quota's rate and holding a second of it, full at the start. Every job takes one token,
- * its retries none; a job that finds none is over the share. To be asked in the order of the jobs' due times.
+ * Which jobs lie within their tenant's share, seen over all dispatchers: a token bucket for each tenant with
+ * a quota, filled at the quota's rate and holding a second of it, full at the start. Every job takes one
+ * token, its retries none; a job that finds none is over the share. To be asked in the order of the jobs'
+ * due times.
  */
 final class Shares {
 
--- a/lab/src/main/java/ryemast/lab/books/Summary.java
+++ b/lab/src/main/java/ryemast/lab/books/Summary.java
@@ -77,7 +77,8 @@
                 died.size() > 1 ? ", and " + (died.size() - 1) + " more did" : "",
                 first.lastLines().isEmpty() ? " It left no log." : " The end of its log:");
         List<String> log = first.lastLines();
-        log.subList(Math.max(0, log.size() - LOG_LINES), log.size()).forEach(line -> add("", "    | %s", line));
+        log.subList(Math.max(0, log.size() - LOG_LINES), log.size())
+                .forEach(line -> add("", "    | %s", line));
     }
 
     private void rules() {
@@ -113,8 +114,8 @@
     private void outcome(String name, long count, String paint, String remark) {
         double share = (double) count / run.asked();
         int full = count == 0 ? 0 : Math.max(1, (int) Math.round(share * BAR));
-        add(paint, "  %-10s %6.2f%% [%s%s] %,d%s", name, 100 * share, "#".repeat(full), ".".repeat(BAR - full),
-                count, remark);
+        add(paint, "  %-10s %6.2f%% [%s%s] %,d%s", name, 100 * share, "#".repeat(full),
+                ".".repeat(BAR - full), count, remark);
     }
 
     private void service() {
@@ -122,15 +123,15 @@
             return;
         }
         ServiceMeasure parts = run.serviceParts();
-        add("", "Service %.3f of 1: the worth answered in time is %.3f of the whole run's, %.3f in the worst window,",
-                run.service(), parts.whole(), parts.worstWindow());
+        add("", "Service %.3f of 1: the worth answered in time is %.3f of the whole run's, %.3f in the worst "
+                + "window,", run.service(), parts.whole(), parts.worstWindow());
         add("", "    %.3f for the worst class, %.3f for the worst tenant; less for late failures (%.1f%%) "
                 + "and waste (%.1f%%)", parts.worstClass(), parts.worstTenant(), 100 * parts.lateFail(),
                 100 * parts.waste());
         if (run.served() > 0) {
             RunResult.LatencyMs took = run.latencyMs();
-            add("", "Served jobs took: half up to %,.1f ms, 99%% up to %,.1f ms, 99.9%% up to %,.1f ms", took.p50(),
-                    took.p99(), took.p999());
+            add("", "Served jobs took: half up to %,.1f ms, 99%% up to %,.1f ms, 99.9%% up to %,.1f ms",
+                    took.p50(), took.p99(), took.p999());
         }
     }
 
@@ -156,13 +157,15 @@
         double mean = run.byBox().stream().mapToDouble(RunResult.BoxRow::busyShare).average().orElse(0);
         long fell = run.byBox().stream().mapToLong(RunResult.BoxRow::fellOver).sum();
         add("", "%,d boxes, busy %.0f%% of the time on average, %s most with %.0f%%; %.2f requests a job, "
-                + "%,d second copies%s", run.byBox().size(), 100 * mean, busiest.id(), 100 * busiest.busyShare(),
+                + "%,d second copies%s", run.byBox().size(), 100 * mean, busiest.id(),
+                100 * busiest.busyShare(),
                 run.attemptsPerJob(), run.secondCopies(), fell == 0 ? "" : "; " + fell + " fell over");
         if (!run.faults().isEmpty()) {
             Map<String, Long> kinds = run.faults().stream()
                     .collect(Collectors.groupingBy(RunResult.FaultRow::kind, Collectors.counting()));
             add("", "Went wrong as planned: %s", kinds.entrySet().stream().sorted(Map.Entry.comparingByKey())
-                    .map(kind -> kind.getKey() + (kind.getValue() > 1 ? " " + kind.getValue() + " times" : ""))
+                    .map(kind -> kind.getKey() + (kind.getValue() == 1 ? ""
+                            : " " + kind.getValue() + " times"))
                     .collect(Collectors.joining(", ")));
         }
     }
@@ -172,8 +175,8 @@
                 : String.format(Locale.ROOT, "%,.0f µs of processor time a job", run.cpuUsPerJob());
         String memory = run.rssMb() == null ? "memory not known"
                 : String.format(Locale.ROOT, "%,.0f MB at most", run.rssMb());
-        add("", "Dispatchers: %s, %s. The emulator was late by %.1f ms (99.9%%), %.1f ms at most", cpu, memory,
-                run.emulatorLateMs(), run.emulatorLateMostMs());
+        add("", "Dispatchers: %s, %s. The emulator was late by %.1f ms (99.9%%), %.1f ms at most", cpu,
+                memory, run.emulatorLateMs(), run.emulatorLateMostMs());
     }
 
     private void add(String paint, String format, Object... figures) {
--- a/lab/src/test/java/ryemast/lab/books/JudgeTest.java
+++ b/lab/src/test/java/ryemast/lab/books/JudgeTest.java
@@ -14,7 +14,9 @@
 import ryemast.lab.books.Books.End;
 import ryemast.lab.books.Books.Reply;
 
-/** Each rule against hand-worked histories: a wrong just over the limit names it alone, one just inside none. */
+/**
+ * Each rule against hand-worked histories: a wrong just over the limit names it alone, one just inside none.
+ */
 class JudgeTest {
 
     private final Tale tale = new Tale();
@@ -37,8 +39,8 @@
         tale.arrives("turned", 1, 305).replies("turned", 1, 306, Reply.TURNED_AWAY).runs("turned", 2, 308)
                 .told("turned", 410, 200, result("turned", 2));
         tale.ask("back", ONCE, 500);
-        tale.arrives("back", 1, 505).replies("back", 1, 506, Reply.TAKEN).ends("back", 1, 520, End.RETURNED, 0)
-                .told("back", 530, 503, "");
+        tale.arrives("back", 1, 505).replies("back", 1, 506, Reply.TAKEN).ends("back", 1, 520, End.RETURNED,
+                0).told("back", 530, 503, "");
         tale.ask("copied", FREE, 600);
         tale.runs("copied", 0, 605).runs("copied", 1, 650).told("copied", 710, 200, result("copied", 0));
         tale.ask("gone", ONCE, 800);
@@ -217,8 +219,8 @@
         tale.served("inside", FREE, 1_545);
         kept();
         tale.served("after", FREE, 1_546);
-        assertEquals("Request after was sent to s-0 551 ms after dispatcher 0 was told that this box drains or is "
-                + "gone; the grace is 500 ms.", broken(Rule.DRAIN).what());
+        assertEquals("Request after was sent to s-0 551 ms after dispatcher 0 was told that this box drains "
+                + "or is gone; the grace is 500 ms.", broken(Rule.DRAIN).what());
         tale.listed(0, 0, 4_000, BoxState.READY, 3_000).served("again", FREE, 4_000);
         broken(Rule.DRAIN);
     }
--- a/lab/src/test/java/ryemast/lab/books/MemoryBooksTest.java
+++ b/lab/src/test/java/ryemast/lab/books/MemoryBooksTest.java
@@ -44,8 +44,9 @@
         assertEquals(JOBS, history.jobs().size());
         for (JobStory job : history.jobs()) {
             int number = (int) job.job().number();
-            assertEquals(List.of(new Attempt(number % 3, 0, number + 5, number + 6, 0, Reply.TAKEN, number + 10,
-                    number + 20, End.DONE, number + 80, 1_000, Fingerprint.of("r" + number), Attempt.NEVER)),
+            assertEquals(List.of(new Attempt(number % 3, 0, number + 5, number + 6, 0, Reply.TAKEN,
+                    number + 10, number + 20, End.DONE, number + 80, 1_000,
+                    Fingerprint.of("r" + number), Attempt.NEVER)),
                     job.last().attempts());
             assertSame(job.last().attempts().get(0), job.last().servedBy());
         }
--- a/lab/src/test/java/ryemast/lab/books/RunResultTest.java
+++ b/lab/src/test/java/ryemast/lab/books/RunResultTest.java
@@ -72,8 +72,8 @@
         tale.books.left("left", 500 * MS);
         tale.ask("open", FREE, 0);
         RunResult run = run();
-        assertEquals(List.of(3L, 1L, 0L, 1L, 1L, 1L), List.of(run.asked(), run.served(), run.refused(), run.failed(),
-                run.left(), run.unanswered()));
+        assertEquals(List.of(3L, 1L, 0L, 1L, 1L, 1L), List.of(run.asked(), run.served(), run.refused(),
+                run.failed(), run.left(), run.unanswered()));
         assertEquals(new RunResult.Outcomes(4, 1, 1, 1, 1, 1), run.tries());
         assertEquals(130, run.latencyMs().p50(), 0.13, "from the first try on");
     }
@@ -113,11 +113,13 @@
         }
         tale.dispatcher(60, DispatcherState.DIED);
         tale.books.late(0, 900 * MS);
-        List<String> log = List.of("one", "two", "three", "OutOfMemoryError", "five", "six", "\u001b[31mseven");
+        List<String> log = List.of("one", "two", "three", "OutOfMemoryError", "five", "six",
+                "\u001b[31mseven");
         RunResult run = RunResult.of(tale.scenario(), tale.books, List.of(stats(true, log)), true, "a note");
         String text = text(run);
         for (String said : List.of("DISPATCHER 0 DIED by itself, exit code 137", "OutOfMemoryError",
-                "NOTHING WAS SERVED", "RULES BROKEN 31 times (stranger 30, alive 1)", "and 27 more", "INTERRUPTED",
+                "NOTHING WAS SERVED", "RULES BROKEN 31 times (stranger 30, alive 1)", "and 27 more",
+                "INTERRUPTED",
                 "DOES NOT COUNT", "a note")) {
             assertTrue(text.contains(said), () -> "'" + said + "' in\n" + text);
         }
--- a/lab/src/test/java/ryemast/lab/books/Tale.java
+++ b/lab/src/test/java/ryemast/lab/books/Tale.java
@@ -38,17 +38,19 @@
         var boxes = new ArrayList<Scenario.BoxSpec>();
         for (int i = 0; i < 3; i++) {
             boxes.add(new Scenario.BoxSpec(i, "s-" + i, 0, 0, 0, 1, 1, 1, 4, 0.2, 10_000 * MS,
-                    Scenario.WarmBy.TIME, false, 0, Scenario.CancelReach.ALL, true, true, 1, 100, 5_000 * MS, 0, 0));
+                    Scenario.WarmBy.TIME, false, 0, Scenario.CancelReach.ALL, true, true, 1, 100, 5_000 * MS,
+                    0, 0));
         }
         var classes = List.of(
-                new Scenario.JobClass("free", 0.5, WORK, Scenario.Spread.FIXED, 0, 150 * MS, 2, 1_000 * MS, 3, 0.5,
-                        Effect.FREE, 1),
-                new Scenario.JobClass("once", 0.5, WORK, Scenario.Spread.FIXED, 0, 150 * MS, 2, 1_000 * MS, 5, 0,
-                        Effect.SINGLE_SHOT, 1));
+                new Scenario.JobClass("free", 0.5, WORK, Scenario.Spread.FIXED, 0, 150 * MS, 2, 1_000 * MS,
+                        3, 0.5, Effect.FREE, 1),
+                new Scenario.JobClass("once", 0.5, WORK, Scenario.Spread.FIXED, 0, 150 * MS, 2, 1_000 * MS,
+                        5, 0, Effect.SINGLE_SHOT, 1));
         var rules = new Scenario.Rules(500 * MS, 4, 1_000 * MS, 0.13, 10_000 * MS, 10_000 * MS, 20 * MS, 3,
                 secondCopies, true, true, 2_000 * MS, 250 * MS);
-        return new Scenario("tale", "A tale", 7, 60_000 * MS, 5 * MS, List.of("z"), List.of("k"), boxes, classes,
-                List.copyOf(tenants), new Scenario.Load(10, 0, Scenario.Shape.STEADY, 0, 0, Scenario.Hints.NONE, 0, 0),
+        return new Scenario("tale", "A tale", 7, 60_000 * MS, 5 * MS, List.of("z"), List.of("k"), boxes,
+                classes, List.copyOf(tenants), new Scenario.Load(10, 0, Scenario.Shape.STEADY, 0, 0,
+                Scenario.Hints.NONE, 0, 0),
                 new Scenario.Clients(1, Scenario.Backoff.NONE, 0, 0, 0, false, 0.1),
                 new Scenario.Dispatchers(2, 0, 64, 256, 1_000 * MS),
                 new Scenario.Discovery(500 * MS, 5_000 * MS, 500 * MS, MS, 3_000 * MS, 2_000 * MS),
