--- a/lab/src/main/java/ryemast/lab/books/Summary.java
+++ b/lab/src/main/java/ryemast/lab/books/Summary.java
@@ -157,7 +157,7 @@
         double mean = run.byBox().stream().mapToDouble(RunResult.BoxRow::busyShare).average().orElse(0);
         long fell = run.byBox().stream().mapToLong(RunResult.BoxRow::fellOver).sum();
         add("", "%,d boxes, busy %.0f%% of the time on average, %s most with %.0f%%; %.2f requests a job, "
-                + "%,d second copies%s", run.byBox().size(), 100 * mean, busiest.id(),
+                + "second copies: %,d%s", run.byBox().size(), 100 * mean, busiest.id(),
                 100 * busiest.busyShare(),
                 run.attemptsPerJob(), run.secondCopies(), fell == 0 ? "" : "; " + fell + " fell over");
         if (!run.faults().isEmpty()) {
