Write down when an attempt is given up, and what body a box was sent

The judge of the books tells a second copy from one that was given up, and a request passed on unchanged from one that wasn't; boxes are who knows both.

--- a/lab/src/main/java/ryemast/lab/site/Box.java
+++ b/lab/src/main/java/ryemast/lab/site/Box.java
@@ -6,6 +6,7 @@
 import ryemast.lab.books.Books;
 import ryemast.lab.books.Books.BoxState;
 import ryemast.lab.books.Books.Reply;
+import ryemast.lab.books.Fingerprint;
 import ryemast.lab.books.Tries;
 import ryemast.lab.books.Try;
 import ryemast.lab.scenario.Scenario.BoxSpec;
@@ -130,14 +131,17 @@
     @Override
     public void ended(Visit visit) {
         var contact = contacts.forget(visit);
-        if (contact != null) {
-            unseen(contact, Reply.NONE);
+        var parcel = contact == null ? null : contact.takeUnseen();
+        if (parcel != null) {
+            books.givenUp(spec.index(), parcel.dispatcher(), parcel.txn(), time.now());
+            replied(parcel, Reply.NONE);
         }
     }
 
     @Override
     public void take(Visit visit, Parcel parcel) {
-        books.arrived(spec.index(), parcel.dispatcher(), parcel.txn(), parcel.firstByteAt(), parcel.at());
+        books.arrived(spec.index(), parcel.dispatcher(), parcel.txn(), parcel.firstByteAt(), parcel.at(),
+                Fingerprint.of(parcel.body()));
         var contact = contacts.find(visit);
         if (door == Door.SILENT) {
             replied(parcel, Reply.NONE);
@@ -167,6 +171,7 @@
     @Override
     public void cancel(int dispatcher, String txn) {
         if (door == Door.OPEN) {
+            books.givenUp(spec.index(), dispatcher, txn, time.now());
             floor.cancel(txn);
         }
     }
--- a/lab/src/main/java/ryemast/lab/site/Contacts.java
+++ b/lab/src/main/java/ryemast/lab/site/Contacts.java
@@ -41,10 +41,6 @@
         return open.get(visit);
     }
 
-    int count() {
-        return open.size();
-    }
-
     /** Forgets a connection that has ended; null if it is not here. */
     Contact forget(Visit visit) {
         var contact = open.remove(visit);
--- a/lab/src/test/java/ryemast/lab/site/BoxTest.java
+++ b/lab/src/test/java/ryemast/lab/site/BoxTest.java
@@ -175,9 +175,9 @@
                     50 va reset
                     50 box0 READY 0.5
                     1050 box0 READY 1.0"""),
-            cancel(CancelReach.NONE, "100 a DONE 100\n200 b DONE 100"),
-            cancel(CancelReach.QUEUED, "10 b CANCELLED 0\n100 a DONE 100"),
-            cancel(CancelReach.ALL, "10 a CANCELLED 10\n10 b CANCELLED 0"),
+            cancel(CancelReach.NONE, "10 a given up\n10 b given up\n100 a DONE 100\n200 b DONE 100"),
+            cancel(CancelReach.QUEUED, "10 a given up\n10 b given up\n10 b CANCELLED 0\n100 a DONE 100"),
+            cancel(CancelReach.ALL, "10 a given up\n10 a CANCELLED 10\n10 b given up\n10 b CANCELLED 0"),
             new Case("a job that goes on though given up may be sent again", knobs -> {
                 knobs.cancel = CancelReach.QUEUED;
             }, rig -> {
@@ -227,7 +227,7 @@
                 var visit = rig.visit("v");
                 rig.send(visit, "a", 0);
                 rig.at(10, () -> rig.box.ended(visit));
-            }, "", "10 a NONE"),
+            }, "", "10 a given up\n10 a NONE"),
             new Case("so many connections, closed when idle", knobs -> {
                 knobs.connections = 2;
                 knobs.idleLimit = 100;
@@ -302,7 +302,7 @@
                 rig.box.cancel(0, "a");
                 rig.box.cancel(0, "b");
             });
-        }, "(CANCELLED|DONE|\\{)", expected);
+        }, "(given|CANCELLED|DONE|\\{)", expected);
     }
 
     private static Case ill(String name, FaultKind kind, String expected) {
--- a/lab/src/test/java/ryemast/lab/site/Rig.java
+++ b/lab/src/test/java/ryemast/lab/site/Rig.java
@@ -153,6 +153,7 @@
     private void write(String what, Object[] said) {
         switch (what) {
             case "replied" -> note(said[2] + " " + said[4]);
+            case "givenUp" -> note(said[2] + " given up");
             case "began" -> note(said[2] + " began");
             case "ended" -> note(said[2] + " " + said[4] + " " + Math.round((double) said[5]));
             case "box" -> note("box" + said[0] + " " + said[2] + " "
