--- /dev/null
+++ b/lab/src/main/java/ryemast/lab/site/Front.java
@@ -0,0 +1,63 @@
+package ryemast.lab.site;
+
+import ryemast.lab.world.Timeline;
+
+/**
+ * What spreads clients' connections over the dispatchers: in turn, over those it takes for alive.
+ *
+ * <p>It takes a dispatcher in as soon as that one is ready, and goes on giving connections to a dead one until
+ * it notices, a while later; one that is ready again before then was never left out. Owned by one timeline.
+ */
+public final class Front {
+
+    /** Returned when it knows of no dispatcher that lives. */
+    public static final int NOBODY = -1;
+
+    private final boolean[] taken;
+    private final Timeline.Timer[] notices;
+    private final long notice;
+    private final Timeline time;
+    private int last = -1;
+
+    /** {@code notice}: from a dispatcher's death until it gets no more connections. */
+    public Front(int dispatchers, long notice, Timeline time) {
+        taken = new boolean[dispatchers];
+        notices = new Timeline.Timer[dispatchers];
+        this.notice = notice;
+        this.time = time;
+    }
+
+    /** Which dispatcher the next connection goes to, or {@link #NOBODY}. */
+    public int next() {
+        for (int i = 1; i <= taken.length; i++) {
+            int candidate = (last + i) % taken.length;
+            if (taken[candidate]) {
+                last = candidate;
+                return candidate;
+            }
+        }
+        return NOBODY;
+    }
+
+    /** A dispatcher has died or says that it takes no more. */
+    public void died(int dispatcher, long at) {
+        forgetNotice(dispatcher);
+        notices[dispatcher] = time.at(at + notice, () -> {
+            notices[dispatcher] = null;
+            taken[dispatcher] = false;
+        });
+    }
+
+    /** Its health check has said 200. */
+    public void ready(int dispatcher, long at) {
+        forgetNotice(dispatcher);
+        taken[dispatcher] = true;
+    }
+
+    private void forgetNotice(int dispatcher) {
+        if (notices[dispatcher] != null) {
+            notices[dispatcher].cancel();
+            notices[dispatcher] = null;
+        }
+    }
+}
