--- a/lab/src/main/java/ryemast/lab/Main.java
+++ b/lab/src/main/java/ryemast/lab/Main.java
@@ -1,6 +1,7 @@
 package ryemast.lab;
 
 import ryemast.cli.Cli;
+import ryemast.lab.cli.DemoCommand;
 import ryemast.lab.cli.LabCommand;
 
 /** The lab's program: all of the dispatcher's commands, and those that need the lab. */
@@ -10,6 +11,7 @@
     }
 
     public static void main(String[] args) {
-        System.exit(Cli.run(Cli.commandLine().addSubcommand(new LabCommand()), args));
+        System.exit(Cli.run(Cli.commandLine().addSubcommand(new LabCommand())
+                .addSubcommand(new DemoCommand()), args));
     }
 }
--- a/lab/src/main/java/ryemast/lab/load/LoadPlan.java
+++ b/lab/src/main/java/ryemast/lab/load/LoadPlan.java
@@ -39,6 +39,8 @@
     private static final int MANY = 100_000;
     private static final long AFTER_THE_END = 60 * SECOND;
     private static final int BODY_BYTES = 256;
+    /** Jobs come for a little longer than is measured, so that the last moment is like all others. */
+    private static final double TAIL = 0.4;
 
     public Room room() {
         return Room.of(boxes, connections, rate, 1);
@@ -55,7 +57,7 @@
 
     /** {@code sockets} and {@code memoryMb} as each dispatcher is told. */
     public Scenario scenario(int sockets, int memoryMb) {
-        long length = Math.round((warmUp + seconds) * SECOND);
+        long length = Math.round((warmUp + seconds + TAIL) * SECOND);
         var specs = new ArrayList<Scenario.BoxSpec>();
         for (int i = 0; i < boxes; i++) {
             specs.add(new Scenario.BoxSpec(i, String.format("s-%05d", i), 0, 0, 0, cores, 1, cores,
--- a/lab/src/main/java/ryemast/lab/load/Measured.java
+++ b/lab/src/main/java/ryemast/lab/load/Measured.java
@@ -8,8 +8,9 @@
  * What a run's books say of the measured interval alone: of the jobs that were due in it, how each ended and
  * how long it took; and how many ended in it, which is what the processor time of the interval was spent on.
  *
- * @param seconds  how long the interval was
- * @param ended    jobs whose client got its last word in the interval, whenever they were due
+ * @param seconds    how long the interval was
+ * @param failed     all that were neither served nor refused, unanswered ones among them
+ * @param ended      jobs whose client got its last word in the interval, whenever they were due
  * @param cpuMicros  the dispatcher's processor time in the interval, below 0 if it is not known
  */
 public record Measured(double seconds, long asked, long served, long refused, long failed, long unanswered,
@@ -38,7 +39,10 @@
                 }
                 case REFUSED -> counts[1]++;
                 case FAILED -> counts[2]++;
-                default -> counts[3]++;
+                default -> {
+                    counts[2]++;
+                    counts[3]++;
+                }
             }
             if (story.servedAt() == Attempt.NEVER) {
                 latency.notServed();
--- a/lab/src/main/java/ryemast/lab/load/Room.java
+++ b/lab/src/main/java/ryemast/lab/load/Room.java
@@ -20,7 +20,9 @@
 
     /** A deployment's own figures, which {@code deploy/balancer.toml} is made for. */
     static final int LEAST_SOCKETS = 1024;
-    static final int LEAST_HEAP_MB = 80;
+    public static final int LEAST_HEAP_MB = 80;
+    private static final int LEAST_DIRECT_MB = 16;
+    private static final int LEAST_MEMORY_MB = 192;
     /** Jars, streams, selectors of the one and of the other. */
     private static final int OWN_FILES = 160;
     private static final int RESERVED = 48;
@@ -31,6 +33,8 @@
     private static final double OPEN_LOOP_SECONDS = 1;
     /** More jobs than this a dispatcher with one core never has open at once. */
     private static final int MOST_OPEN = 1500;
+    /** So many the deployment's heap is enough for. */
+    private static final int FEW_BOXES = 100;
     private static final double HEAP_MB_PER_BOX = 0.05;
     private static final double HEAP_MB_PER_SOCKET = 0.012;
     private static final Pattern OPEN_FILES = Pattern.compile("Max open files\\s+(\\S+)\\s+(\\S+).*");
@@ -44,11 +48,21 @@
                 RESERVED + Math.max(REGIONS_SHARE * regions, terminals * REGIONS_SHARE / 2));
         // A listener for each box and dispatcher, the boxes' ends of connections, clients and call-backs.
         int emulator = OWN_FILES + dispatchers * (boxes + regions + open + CALL_BACKS);
-        int heap = (int) Math.ceil(LEAST_HEAP_MB + HEAP_MB_PER_BOX * boxes
+        int heap = (int) Math.ceil(LEAST_HEAP_MB + HEAP_MB_PER_BOX * Math.max(0, boxes - FEW_BOXES)
                 + HEAP_MB_PER_SOCKET * (dispatcher - LEAST_SOCKETS));
         return new Room(emulator, dispatcher, heap);
     }
 
+    /** For buffers outside the heap: the deployment's own share of the heap, which connections take up. */
+    public int directMb() {
+        return Math.max(LEAST_DIRECT_MB, heapMb / 5);
+    }
+
+    /** What a dispatcher is told that it may use; half as much again as both, for the JVM itself. */
+    public int memoryMb() {
+        return Math.max(LEAST_MEMORY_MB, (heapMb + directMb()) * 3 / 2);
+    }
+
     /** How many descriptors a process may hold. */
     public record Limit(long soft, long hard) {
 
