--- a/lab/src/main/java/ryemast/lab/cli/DemoCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/DemoCommand.java
@@ -49,7 +49,7 @@
         var run = SiteRun.of(scenario, SiteRun.options(null, null), stop, story::begins, story::at);
         file.write(run.result().json());
         System.out.println();
-        Summary.print(run.result(), System.out);
+        Summary.print(run.result(), System.out, System.console() != null);
         return run.exitCode();
     }
 
--- a/lab/src/main/java/ryemast/lab/cli/EmulateCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/EmulateCommand.java
@@ -71,7 +71,7 @@
                     progress -> live.at(progress.share(), LoadRuns.words(progress)));
         }
         file.write(run.result().json());
-        Summary.print(run.result(), System.out);
+        Summary.print(run.result(), System.out, System.console() != null);
         return run.exitCode();
     }
 
