Carry a site on real sockets: boxes, discovery, clients and dispatchers' processes

Cause: what the lab describes of boxes, discovery and clients needs real bytes and a real dispatcher. Change: package ryemast.lab.sockets: shards of real time, box ports with three doors, catalogue server, client pool, call-backs, supervised processes, EmulatedSite.

--- /dev/null
+++ b/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
@@ -0,0 +1,423 @@
+package ryemast.lab.sockets;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import ryemast.core.Clock;
+import ryemast.lab.books.DispatcherStats;
+import ryemast.lab.books.MemoryBooks;
+import ryemast.lab.scenario.Scenario;
+import ryemast.lab.scenario.Scenario.JobClass;
+import ryemast.lab.site.Box;
+import ryemast.lab.site.Catalogue;
+import ryemast.lab.site.Clients;
+import ryemast.lab.site.DispatcherControl;
+import ryemast.lab.site.FaultInjector;
+import ryemast.lab.site.Front;
+import ryemast.lab.site.Spells;
+import ryemast.lab.site.Tell;
+import ryemast.lab.world.Chance;
+import ryemast.net.Addresses;
+import ryemast.net.Transport;
+
+/**
+ * A whole site around real dispatchers: boxes, discovery and clients in this process, on loopback sockets,
+ * each dispatcher as a process of its own; everything happens as the scenario says and goes into the books.
+ *
+ * <p>Boxes, discovery and the timetable of faults live on one shard, clients on another; the selectors' threads
+ * only read, parse and write. A shard needs some 50 microseconds a job, so that two of them carry more than one
+ * dispatcher on one core can; more shards would share boxes whose changes discovery must see in order.
+ */
+public final class EmulatedSite implements AutoCloseable {
+
+    /**
+     * How the site is run.
+     *
+     * @param command      a shell's command that starts a dispatcher as the platform does; null: {@code run} in
+     *                     {@code deploy/balancer.toml}
+     * @param external     the address of a dispatcher that somebody else runs, or null; its configuration is
+     *                     left in the folder, and there may be only one
+     * @param folder       for configurations and logs; null: a temporary one
+     * @param pin          whether dispatchers get processors of their own, as many as the scenario says
+     * @param jvmArgs      further ones for a dispatcher's JVM
+     * @param connections  the most that clients keep open
+     * @param callBacks    the most connections that call-backs share to one dispatcher; 0: each box has up to
+     *                     four of its own, as long as there are few boxes
+     */
+    public record Options(String command, String external, Path folder, boolean pin, List<String> jvmArgs,
+            int connections, int callBacks) {
+
+        public static Options standard() {
+            return new Options(null, null, null, false, List.of(), 4_096, 0);
+        }
+
+        public Options withCommand(String other) {
+            return new Options(other, external, folder, pin, jvmArgs, connections, callBacks);
+        }
+
+        public Options withExternal(String address) {
+            return new Options(command, address, folder, pin, jvmArgs, connections, callBacks);
+        }
+
+        public Options withFolder(Path other) {
+            return new Options(command, external, other, pin, jvmArgs, connections, callBacks);
+        }
+
+        public Options pinned() {
+            return new Options(command, external, folder, true, jvmArgs, connections, callBacks);
+        }
+
+        public Options withJvmArgs(List<String> more) {
+            return new Options(command, external, folder, pin, List.copyOf(more), connections, callBacks);
+        }
+    }
+
+    /**
+     * How far a run has come.
+     *
+     * @param elapsed   since its start, in microseconds
+     * @param asked     jobs that have been sent at least once
+     * @param answered  jobs that are over
+     * @param ready     dispatchers that are
+     */
+    public record Progress(long elapsed, long length, long asked, long answered, int ready) {
+
+        public double share() {
+            return length == 0 ? 1 : Math.min(1, (double) elapsed / length);
+        }
+    }
+
+    /** How a run ended. */
+    public enum Ending {
+        /** All was sent, and every job is over. */
+        DONE,
+        /** Jobs were still open when the last deadline had passed: there was more than could be done. */
+        OVERLOADED, INTERRUPTED,
+        /** A dispatcher ended though nobody had told it to. */
+        DISPATCHER_DIED
+    }
+
+    private static final Logger LOG = Logger.getLogger(EmulatedSite.class.getName());
+    private static final long AFTER_THE_LAST = 2_000_000;
+    private static final long LOOK_MS = 50;
+    private static final long TELL_MS = 200;
+    private static final long READY_MS = 30_000;
+    private static final int BOXES_WITH_OWN = 16;
+    private static final int OWN_CALL_BACKS = 4;
+    private static final int SHARED_CALL_BACKS = 64;
+
+    private final Scenario scenario;
+    private final Options options;
+    private final Clock clock = new Clock();
+    private final MemoryBooks books = new MemoryBooks();
+    private final Shard site = new Shard("site", clock, books);
+    private final Shard callers = new Shard("clients", clock, books);
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final List<Box> boxes = new ArrayList<>();
+    private final List<UniformRandomProvider> seeds = new ArrayList<>();
+    private final Front front;
+    private final Supervisor supervisor;
+    private final Thread hook = new Thread(this::endProcesses, "end dispatchers");
+    private Path folder;
+    private Cores cores;
+    private BoxPorts ports;
+    private Catalogue catalogue;
+    private CatalogueServer discovery;
+    private Clients clients;
+    private FaultInjector faults;
+    private volatile boolean interrupted;
+    private volatile Ending ending;
+    private boolean closed;
+
+    public EmulatedSite(Scenario scenario, Options options) {
+        this.scenario = scenario;
+        this.options = options;
+        if (options.external() != null && scenario.dispatchers().count() != 1) {
+            throw new IllegalArgumentException("one dispatcher is given by its address, but the scenario has "
+                    + scenario.dispatchers().count());
+        }
+        front = new Front(scenario.dispatchers().count(), scenario.dispatchers().notice(), callers);
+        supervisor = new Supervisor(scenario, books, callers, front);
+    }
+
+    /** Brings everything up, and returns once clients may come. What was begun is ended if that fails. */
+    public void start() throws IOException {
+        try {
+            begin();
+        } catch (IOException | RuntimeException e) {
+            close();
+            throw e;
+        }
+    }
+
+    private void begin() throws IOException {
+        Runtime.getRuntime().addShutdownHook(hook);
+        folder = options.folder() != null ? Files.createDirectories(options.folder())
+                : Files.createTempDirectory("ryemast-site");
+        site.start();
+        callers.start();
+        int count = scenario.dispatchers().count();
+        var random = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid() << Integer.SIZE);
+        var net = "127." + random.nextInt(16, 240) + "." + random.nextInt(256) + ".";
+        findAddresses(net, count);
+        var chance = new Chance(scenario.seed());
+        var hosts = IntStream.rangeClosed(1, count).mapToObj(number -> net + number).toList();
+        var outward = new Transport();
+        var callBacks = callBacks(outward);
+        for (var spec : scenario.boxes()) {
+            boxes.add(new Box(spec, scenario.telling(), scenario.rules(), site, chance, books.tries(), books,
+                    callBacks.of(spec.index())));
+        }
+        ports = new BoxPorts(site, new Transport(), boxes, hosts);
+        ports.open();
+        catalogue = new Catalogue(scenario, boxes, ports::address, site, books);
+        discovery = new CatalogueServer(site, outward, new CatalogueServer.Discovery() {
+            @Override
+            public void call(int dispatcher, boolean watch, long from, Tell tell) {
+                catalogue.call(dispatcher, watch, from, tell);
+            }
+
+            @Override
+            public void gone(Tell tell) {
+                catalogue.gone(tell);
+            }
+        }, hosts);
+        discovery.open();
+        var spells = new Spells(scenario.faults());
+        faults = new FaultInjector(scenario, boxes, catalogue, spells, control(), site);
+        var pool = new ClientPool(callers, new Transport(), front, addresses::get, this::isAlive,
+                scenario.clients().marksRetry(), options.connections());
+        clients = new Clients(scenario, callers, chance, pool, books.tries(), books, spells);
+        site.ask(() -> {
+            boxes.forEach(Box::begin);
+            ports.begin();
+            return null;
+        });
+        for (int i = 0; i < count; i++) {
+            seeds.add(chance.stream("dispatcher", i));
+        }
+        if (options.external() == null) {
+            startDispatchers(count);
+        } else {
+            awaitExternal();
+        }
+    }
+
+    /** Chosen before the dispatchers start, and the same over all their starts. */
+    private void findAddresses(String net, int count) throws IOException {
+        if (options.external() != null) {
+            addresses.add(Addresses.parse(options.external()));
+            return;
+        }
+        for (int i = 0; i < count; i++) {
+            var host = InetAddress.getByName(net + (101 + i));
+            // Nothing else uses this host, so that the port stays free while its dispatcher is down.
+            try (var socket = new ServerSocket(0, 1, host)) {
+                addresses.add(new InetSocketAddress(host, socket.getLocalPort()));
+            }
+        }
+    }
+
+    private CallBacks callBacks(Transport transport) {
+        boolean shared = options.callBacks() > 0 || scenario.boxes().size() > BOXES_WITH_OWN;
+        int most = !shared ? OWN_CALL_BACKS
+                : options.callBacks() > 0 ? options.callBacks() : SHARED_CALL_BACKS;
+        return new CallBacks(site, transport, addresses::get, shared, most);
+    }
+
+    private void startDispatchers(int count) throws IOException {
+        var launch = options.command() == null ? Launch.standard(options.jvmArgs())
+                : new Launch(Path.of("").toAbsolutePath(), options.command());
+        cores = Cores.shared(count, options.pin() ? scenario.dispatchers().cores() : 0);
+        for (int i = 0; i < count; i++) {
+            int number = i;
+            supervisor.add(new DispatcherProcess(i,
+                    launch.words(cores.of(i), scenario.dispatchers().sockets()), launch.root(),
+                    addresses.get(i), () -> configuration(number), folder, clock, supervisor));
+        }
+        supervisor.start(READY_MS);
+    }
+
+    private String configuration(int dispatcher) {
+        return new DispatcherSettings(scenario).configuration(dispatcher,
+                Addresses.text(addresses.get(dispatcher)), discovery.address(dispatcher),
+                seeds.get(dispatcher).nextLong(), site.ask(() -> catalogue.whole(dispatcher))).toString();
+    }
+
+    private void awaitExternal() throws IOException {
+        var file = folder.resolve("dispatcher-0.json");
+        Files.writeString(file, configuration(0));
+        LOG.info("the dispatcher at " + options.external() + " finds its configuration in " + file);
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
+        while (!DispatcherProcess.isHealthy(addresses.get(0))) {
+            if (System.nanoTime() > end) {
+                throw new IOException("the dispatcher at " + options.external() + " does not answer GET /_health"
+                        + " with 200; its configuration is in " + file);
+            }
+            pause(LOOK_MS);
+        }
+        callers.post(() -> front.ready(0, callers.now()));
+    }
+
+    private boolean isAlive(int dispatcher) {
+        return options.external() != null || supervisor.isAlive(dispatcher);
+    }
+
+    private DispatcherControl control() {
+        return options.external() == null ? supervisor : new DispatcherControl() {
+            @Override
+            public void kill(int dispatcher) {
+                passedOver("kill");
+            }
+
+            @Override
+            public void restart(int dispatcher) {
+                passedOver("restart");
+            }
+
+            @Override
+            public void end(int dispatcher) {
+                passedOver("end");
+            }
+
+            @Override
+            public void pause(int dispatcher) {
+                passedOver("pause");
+            }
+
+            @Override
+            public void resume(int dispatcher) {
+                passedOver("resume");
+            }
+
+            private void passedOver(String what) {
+                LOG.warning("the scenario would " + what + " the dispatcher, but somebody else runs it");
+            }
+        };
+    }
+
+    /**
+     * Lets the scenario happen; returns when all is sent and every job is over, or when the last deadline has
+     * passed, a dispatcher has died or {@link #interrupt} was called.
+     */
+    public Ending run(Consumer<Progress> each) {
+        long length = scenario.length();
+        long deadline = scenario.classes().stream().mapToLong(JobClass::deadline).max().orElse(0);
+        supervisor.measureFromHere();
+        long beganAt = clock.now();
+        site.ask(() -> {
+            faults.begin();
+            return null;
+        });
+        callers.post(clients::begin);
+        long tellAt = 0;
+        while (ending == null) {
+            pause(LOOK_MS);
+            long elapsed = clock.now() - beganAt;
+            if (interrupted) {
+                ending = Ending.INTERRUPTED;
+            } else if (supervisor.dead() >= 0) {
+                ending = Ending.DISPATCHER_DIED;
+            } else if (clients.quiet()) {
+                ending = Ending.DONE;
+            } else if (elapsed > length + deadline + AFTER_THE_LAST) {
+                ending = Ending.OVERLOADED;
+            }
+            if (ending != null || elapsed >= tellAt) {
+                tellAt = elapsed + TELL_MS * 1_000;
+                each.accept(new Progress(elapsed, length, clients.asked(), clients.answered(),
+                        options.external() == null ? supervisor.ready() : 1));
+            }
+        }
+        callers.ask(() -> {
+            clients.stop();
+            return null;
+        });
+        return ending;
+    }
+
+    private synchronized void pause(long millis) {
+        if (!interrupted) {
+            try {
+                wait(millis);
+            } catch (InterruptedException e) {
+                interrupted = true;
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    /** Ends a run soon; from any thread. */
+    public synchronized void interrupt() {
+        interrupted = true;
+        notifyAll();
+    }
+
+    public Scenario scenario() {
+        return scenario;
+    }
+
+    public MemoryBooks books() {
+        return books;
+    }
+
+    /** Null while it runs. */
+    public Ending ending() {
+        return ending;
+    }
+
+    /** Of the dispatchers that run here. */
+    public List<DispatcherStats> stats() {
+        return supervisor.stats();
+    }
+
+    /** Steps of the emulator that failed by its own fault; a run with any is worth nothing. */
+    public long failures() {
+        return site.failures() + callers.failures();
+    }
+
+    /** Where configurations and logs are. */
+    public Path folder() {
+        return folder;
+    }
+
+    private void endProcesses() {
+        supervisor.close();
+    }
+
+    @Override
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        endProcesses();
+        if (ports != null) {
+            ports.close();
+        }
+        if (discovery != null) {
+            discovery.close();
+        }
+        site.close();
+        callers.close();
+        if (cores != null) {
+            cores.close();
+        }
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // The program is ending.
+        }
+    }
+}
