--- a/app/src/main/java/ryemast/Main.java
+++ b/app/src/main/java/ryemast/Main.java
@@ -4,12 +4,14 @@
 import ryemast.cli.Cli;
 import ryemast.config.Config;
 import ryemast.config.ConfigException;
+import ryemast.config.Tuning;
+import ryemast.operator.Operator;
 
 /**
  * Where the program begins. The three calls that a platform makes ({@code serve}, {@code rehearse} and
- * {@code benchlink}, written exactly so) are recognised here and load no class of the command line, as its
- * libraries would cost a restart some 0.1 s of its one core; every other call goes to {@link Cli}, which knows
- * these three as well.
+ * {@code benchlink}, written exactly so, and {@code serve --operator FILE}) are recognised here and load no
+ * class of the command line, as its libraries would cost a restart some 0.1 s of its one core. Every other
+ * call goes to {@link Cli}, which knows these three as well.
  */
 public final class Main {
 
@@ -54,9 +56,10 @@
     }
 
     private static int start(boolean alone, String operator) {
-        Logs.setUp();
         try {
-            var service = new Service(alone ? Config.alone() : Config.read(System.getenv()));
+            var tuning = alone ? Tuning.DEFAULT : Operator.tuning(operator, System.getenv());
+            Logs.setUp(tuning.log());
+            var service = new Service(alone ? Config.alone() : Config.read(System.getenv(), tuning));
             service.start(alone);
             return DONE;
         } catch (ConfigException e) {
