--- a/lab/src/main/java/ryemast/lab/books/OneAnswer.java
+++ b/lab/src/main/java/ryemast/lab/books/OneAnswer.java
@@ -26,7 +26,7 @@
         Lives lives = new Lives(history);
         for (JobStory job : history.jobs()) {
             for (TryStory story : job.tries()) {
-                if (story.lastAsked() != null) {
+                if (story.answer() != null || !story.asked().isEmpty()) {
                     judge(scenario, history, lives, story, broken);
                 }
             }
@@ -37,7 +37,9 @@
             Consumer<Breach> broken) {
         TryStory.Asked asked = story.lastAsked();
         long dueAt = story.sentTry().until() + scenario.rules().graceToAnswer() + Rule.SLACK;
-        dueAt += lives.pausedWithin(asked.dispatcher(), asked.at(), dueAt);
+        if (asked != null) {
+            dueAt = lives.standing(asked.dispatcher(), asked.at(), dueAt);
+        }
         if (story.answer() != null) {
             answered(story, dueAt, broken);
             return;
@@ -84,13 +86,15 @@
             broken.accept(breach(story, life.until(), "its dispatcher was told to end and did so without "
                     + "answering it"));
         } else if (life.toldAt() != Attempt.NEVER && askedAt > life.toldAt() + TAKEN_WHILE_ENDING) {
-            broken.accept(breach(story, life.until(), "it was taken %d ms after its dispatcher was told to end, "
+            broken.accept(breach(story, life.until(),
+                    "it was taken %d ms after its dispatcher was told to end, "
                     .formatted((askedAt - life.toldAt()) / 1_000) + "and not answered before it was killed"));
         }
     }
 
     private static Breach breach(TryStory story, long at, String what) {
-        return new Breach(Rule.ONE_ANSWER, at, story.txn(), -1, story.lastAsked().dispatcher(),
+        int dispatcher = story.asked().isEmpty() ? -1 : story.lastAsked().dispatcher();
+        return new Breach(Rule.ONE_ANSWER, at, story.txn(), -1, dispatcher,
                 "Request " + story.txn() + " was lost: " + what + ".");
     }
 }
