--- a/lab/src/main/java/ryemast/lab/scenario/Scenario.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Scenario.java
@@ -131,7 +131,8 @@
      * @param timeout       a call that has waited for so long fails
      * @param beat          how often a watch with no news says an empty line
      */
-    public record Discovery(long notice, long silentNotice, long add, long callTime, long timeout, long beat) {
+    public record Discovery(long notice, long silentNotice, long add, long callTime, long timeout,
+            long beat) {
     }
 
     /** What boxes tell of their jobs: starts, progress every so often (0: none), and how stubbornly. */
@@ -200,7 +201,7 @@
      * @param targets   numbers of the boxes, or of the dispatchers, that it strikes
      * @param jobClass  the class it strikes, -1: any
      */
-    public record Fault(FaultKind kind, long at, long lasts, List<Integer> targets, int jobClass, double share,
-            double size, double sizeTo, long every) {
+    public record Fault(FaultKind kind, long at, long lasts, List<Integer> targets, int jobClass,
+            double share, double size, double sizeTo, long every) {
     }
 }
--- a/lab/src/main/java/ryemast/lab/site/Clients.java
+++ b/lab/src/main/java/ryemast/lab/site/Clients.java
@@ -14,13 +14,13 @@
 import ryemast.lab.world.Timeline;
 
 /**
- * Everybody who sends jobs to the dispatchers: asks, waits, tries again and gives up as the scenario says, and
- * writes into the books what each was told.
+ * Everybody who sends jobs to the dispatchers: asks, waits, tries again and gives up as the scenario says,
+ * and writes into the books what each was told.
  *
  * <p>In an open loop jobs come when they are due, whatever became of the ones before, and count from then on
- * though they may leave late (no coordinated omission); in a closed loop so many clients send one job after the
- * other. All that is drawn for a job comes from streams of its own number. A client whose time is up stays a
- * moment longer, so that the books can tell an answer that came late from one that never came.
+ * though they may leave late (no coordinated omission); in a closed loop so many clients send one job after
+ * the other. All that is drawn for a job comes from streams of its own number. A client whose time is up
+ * stays a moment longer, so that the books can tell an answer that came late from one that never came.
  *
  * <p>Owned by one timeline; only the counts may be read from elsewhere.
  */
--- a/lab/src/main/java/ryemast/lab/site/Front.java
+++ b/lab/src/main/java/ryemast/lab/site/Front.java
@@ -5,8 +5,8 @@
 /**
  * What spreads clients' connections over the dispatchers: in turn, over those it takes for alive.
  *
- * <p>It takes a dispatcher in as soon as that one is ready, and goes on giving connections to a dead one until
- * it notices, a while later; one that is ready again before then was never left out. Owned by one timeline.
+ * <p>It takes a dispatcher in as soon as that one is ready, and gives a dead one connections until it
+ * notices, a while later; one that is ready again before then was never left out. Owned by one timeline.
  */
 public final class Front {
 
--- a/lab/src/main/java/ryemast/lab/site/Jobs.java
+++ b/lab/src/main/java/ryemast/lab/site/Jobs.java
@@ -50,8 +50,11 @@
         return switch (scenario.load().hints()) {
             case NONE -> 0;
             case EXACT -> Math.round(plain);
-            case ROUGH -> Math.max(1, Math.round(plain
-                    * Math.exp(scenario.load().hintSigma() * ZigguratSampler.NormalizedGaussian.of(draw).sample())));
+            case ROUGH -> {
+                double gaussian = ZigguratSampler.NormalizedGaussian.of(draw).sample();
+                double off = scenario.load().hintSigma() * gaussian;
+                yield Math.max(1, Math.round(plain * Math.exp(off)));
+            }
         };
     }
 
--- a/lab/src/main/java/ryemast/lab/site/Names.java
+++ b/lab/src/main/java/ryemast/lab/site/Names.java
@@ -29,7 +29,7 @@
         return HexFormat.of().toHexDigits(mixed(mixed(job * TRIES + number ^ before) + after));
     }
 
-    /** What a request of that name carries: the name again and again, so that a body at the wrong job shows. */
+    /** What a request of that name carries: the name over and over, so that a body gone astray shows. */
     static byte[] body(String txn, int bytes) {
         var body = new byte[bytes];
         var name = txn.getBytes(StandardCharsets.US_ASCII);
--- a/lab/src/main/java/ryemast/lab/site/Retrying.java
+++ b/lab/src/main/java/ryemast/lab/site/Retrying.java
@@ -55,7 +55,8 @@
         return switch (clients.backoff()) {
             case NONE -> 0;
             case FIXED -> (long) (clients.backoffTime() * jitter);
-            case EXPONENTIAL -> (long) (clients.backoffTime() * jitter * Math.pow(2, Math.min(tried - 1, DOUBLINGS)));
+            case EXPONENTIAL ->
+                (long) (clients.backoffTime() * jitter * Math.pow(2, Math.min(tried - 1, DOUBLINGS)));
         };
     }
 }
