--- a/lab/src/main/java/ryemast/lab/scenario/DemandPlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/DemandPlan.java
@@ -82,7 +82,8 @@
         var marks = in.flag("marks_retry", usual.marksRetry());
         var over = in.number("over_share_worth", usual.overShareWorth(), 0, 1);
         return chance -> new Scenario.Clients(retries.count(chance),
-                backoff.draw(Scenario.Backoff.class, chance), time.time(chance), honour.draw(chance), impatient.draw(chance), marks, over.draw(chance));
+                backoff.draw(Scenario.Backoff.class, chance), time.time(chance),
+                honour.draw(chance), impatient.draw(chance), marks, over.draw(chance));
     }
 
     private static List<ClassPlan> classes(List<TomlTable> tables, Set<String> known) {
