--- a/lab/src/main/java/ryemast/lab/scenario/Aim.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Aim.java
@@ -29,7 +29,7 @@
             }
         }
         if (said.size() > 1) {
-            in.complain(said.get(1), said.get(0) + " is there already; expected one of boxes, share and all");
+            in.complain(said.get(1), said.get(0) + " is given already; expected one of boxes, share and all");
         }
         var kindNames = kinds.stream().map(KindPlan::name).toList();
         int ofKind = index(in, "of_kind", kindNames, "kind");
@@ -39,17 +39,17 @@
                 .filter(each -> inZone < 0 || each.zones().contains(zones.get(inZone)))
                 .mapToLong(each -> (long) each.count().high()).sum();
         if (in.given("boxes") && boxes.low() > there) {
-            in.complain("boxes", (long) boxes.low() + "; expected at most the " + there + " that there are");
+            in.complain("boxes", "is " + (long) boxes.low() + "; expected at most the " + there + " that there are");
         } else if (there == 0 && (ofKind >= 0 || inZone >= 0)) {
             in.complain(inZone >= 0 ? "in_zone" : "of_kind",
-                    "there is no such box; expected a kind and a zone "
+                    "means no box that there is; expected a kind and a zone "
                     + "that some box has");
         }
         var share = in.number("share", 1, 0.0001, 1);
         boolean all = in.flag("all", false);
         var dispatchers = in.count("dispatchers", 1, 1, 64);
         if (in.given("dispatchers") && dispatchers.low() > leastDispatchers) {
-            in.complain("dispatchers", (long) dispatchers.low() + "; expected at most the " + leastDispatchers
+            in.complain("dispatchers", "is " + (long) dispatchers.low() + "; expected at most the " + leastDispatchers
                     + " that there are");
         }
         return new Aim(said.contains("boxes") ? boxes : null, said.contains("share") ? share : null, ofKind,
@@ -62,7 +62,7 @@
         }
         var found = in.texts(key, List.of(), names);
         if (found.size() > 1) {
-            in.complain(key, "a list; expected the name of one " + what);
+            in.complain(key, "is a list; expected the name of one " + what);
         }
         return found.isEmpty() ? -1 : names.indexOf(found.get(0));
     }
--- a/lab/src/main/java/ryemast/lab/scenario/DemandPlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/DemandPlan.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
@@ -42,7 +41,7 @@
         }
         if (said.size() > 1) {
             in.complain(said.get(1), said.get(0) +
-                    " is there already; expected one of rate_per_s, of_capacity "
+                    " is given already; expected one of rate_per_s, of_capacity "
                     + "and connections");
         }
         for (var key : List.of("shape", "swing", "period_s")) {
@@ -105,7 +104,7 @@
             var stretch = in.number("stretch", usual.stretch(), 0, 1_000);
             var deadline = in.millis("deadline_ms", usual.deadline(), 1, AN_HOUR_MS);
             if (aim.high() > deadline.low()) {
-                in.complain("aim_ms", aim.high() + "; expected at most the deadline, " + deadline.low());
+                in.complain("aim_ms", "is " + aim.high() + "; expected at most the deadline, " + deadline.low());
             }
             var worth = in.number("worth", usual.worth(), 0, 1_000_000);
             var late = in.number("late_worth", usual.lateWorth(), 0, 1);
@@ -137,9 +136,8 @@
         double low = shares.stream().mapToDouble(Range::low).sum();
         double high = shares.stream().mapToDouble(Range::high).sum();
         if (!tables.isEmpty() && (low > 1 + NEARLY || high < 1 - NEARLY)) {
-            tables.get(0).complain("share", String.format(Locale.ROOT, "the shares of all %s add up to %s; "
-                    + "expected 1", what, low == high ? String.format(Locale.ROOT, "%.3g", low)
-                            : String.format(Locale.ROOT, "%.3g to %.3g", low, high)));
+            tables.get(0).complain("share", "makes the shares of all " + what + " add up to " + Section.rounded(low)
+                    + (low == high ? "" : " to " + Section.rounded(high)) + "; expected 1");
         }
     }
 
--- a/lab/src/main/java/ryemast/lab/scenario/FaultPlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/FaultPlan.java
@@ -42,16 +42,16 @@
         var in = new Section(table, "fault", key, known);
         var words = in.texts("kind", List.of(), Choice.words(FaultKind.class));
         if (!in.given("kind")) {
-            in.complain("kind", "missing; expected one of " + String.join(", ",
+            in.complain("kind", "is missing; expected one of " + String.join(", ",
                     Choice.words(FaultKind.class)));
         } else if (words.size() > 1) {
-            in.complain("kind", "a list; expected one kind, or a [[random_fault]] with kinds");
+            in.complain("kind", "is a list; expected one kind, or a [[random_fault]] with kinds");
         }
         var kinds = kinds(words);
         double quarter = site.length().low() * Section.SECOND / 4;
         var at = in.seconds("at_s", quarter, 0, A_DAY);
         if (in.given("at_s") && at.high() >= site.length().low()) {
-            in.complain("at_s", at.high() + "; expected less than the run's length, " + site.length().low());
+            in.complain("at_s", "is " + at.high() + "; expected less than the run's length, " + site.length().low());
         }
         return rest(in, key, kinds, site, at, null, 0, Double.NaN);
     }
@@ -61,7 +61,7 @@
         var in = new Section(table, "random_fault", key, known);
         var words = in.texts("kinds", List.of(), Choice.words(FaultKind.class));
         if (!in.given("kinds")) {
-            in.complain("kinds", "missing; expected some of " + String.join(", ",
+            in.complain("kinds", "is missing; expected some of " + String.join(", ",
                     Choice.words(FaultKind.class)));
         }
         var perMinute = in.number("per_minute", 2, 0, 6_000);
@@ -69,9 +69,9 @@
         double from = one(in, "from_s", 0);
         double until = one(in, "until_s", length);
         if (from >= length) {
-            in.complain("from_s", from + "; expected less than the run's length, " + length);
+            in.complain("from_s", "is " + from + "; expected less than the run's length, " + length);
         } else if (until <= from) {
-            in.complain("until_s", until + "; expected more than from_s, " + from);
+            in.complain("until_s", "is " + until + "; expected more than from_s, " + from);
         }
         return rest(in, key, kinds(words), site, null, perMinute, from * Section.SECOND,
                 in.given("until_s") ? until * Section.SECOND : Double.NaN);
@@ -80,7 +80,7 @@
     private static double one(Section in, String key, double otherwise) {
         var range = in.seconds(key, otherwise * Section.SECOND, 0, A_DAY);
         if (range.low() != range.high()) {
-            in.complain(key, "a range; expected one number");
+            in.complain(key, "is a range; expected one number");
         }
         return range.low();
     }
@@ -113,7 +113,7 @@
         if (in.given("class")) {
             var named = in.texts("class", List.of(), site.classes());
             if (named.size() > 1) {
-                in.complain("class", "a list; expected the name of one class");
+                in.complain("class", "is a list; expected the name of one class");
             }
             jobClass = named.isEmpty() ? -1 : site.classes().indexOf(named.get(0));
         }
--- a/lab/src/main/java/ryemast/lab/scenario/ScenarioFile.java
+++ b/lab/src/main/java/ryemast/lab/scenario/ScenarioFile.java
@@ -71,7 +71,7 @@
         var zones = top.texts("zones", List.of(Defaults.ZONE), List.of());
         zones.forEach(each -> Section.checkName(root, "zones", each));
         if (new HashSet<>(zones).size() < zones.size()) {
-            root.complain("zones", "a name for the second time; expected names of their own");
+            root.complain("zones", "holds a name for the second time; expected names of their own");
         }
         return zones;
     }
@@ -79,7 +79,7 @@
     private List<KindPlan> kinds(TomlTable root) {
         var tables = root.tables("kind");
         if (tables.isEmpty() && !root.has("kind")) {
-            root.complain("kind", "missing; expected at least one [[kind]] of boxes");
+            root.complain("kind", "is missing; expected at least one [[kind]] of boxes");
         }
         var plans = new ArrayList<KindPlan>();
         var names = new HashSet<String>();
@@ -90,7 +90,7 @@
         double least = plans.stream().mapToDouble(each -> each.count().low()).sum();
         double most = plans.stream().mapToDouble(each -> each.count().high()).sum();
         if (!plans.isEmpty() && (least < 1 || most > 10_000)) {
-            tables.get(0).complain("count", "there may be " + (long) (least < 1 ? least : most)
+            tables.get(0).complain("count", "makes for " + (long) (least < 1 ? least : most)
                     + " boxes; expected 1 to 10000 of all kinds together");
         }
         return plans;
@@ -104,7 +104,7 @@
         var tables = root.tables("class");
         for (int i = 0; i < tables.size(); i++) {
             if (demand.classes().get(i).slots().high() > room) {
-                tables.get(i).complain("slots", (long) demand.classes().get(i).slots().high()
+                tables.get(i).complain("slots", "is " + (long) demand.classes().get(i).slots().high()
                         + "; expected at most " + (long) room +
                         ", which the largest kind of box has for certain");
             }
--- a/lab/src/main/java/ryemast/lab/scenario/Section.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Section.java
@@ -59,12 +59,17 @@
         double[] ends = table.range(ask(key), otherwise, otherwise, least, most);
         for (double end : ends) {
             if (end != Math.rint(end)) {
-                complain(key, end + "; expected whole numbers");
+                complain(key, "is " + end + "; expected whole numbers");
             }
         }
         return new Range(label + "." + key, Math.rint(ends[0]), Math.rint(ends[1]), 1, true);
     }
 
+    /** A figure as a message shows it. */
+    static double rounded(double value) {
+        return Math.round(value * 1_000) / 1_000.0;
+    }
+
     boolean flag(String key, boolean otherwise) {
         return table.flag(ask(key), otherwise);
     }
@@ -75,12 +80,11 @@
 
     /** Texts that are all used, none drawn. */
     List<String> texts(String key, List<String> otherwise, List<String> allowed) {
-        var found = table.words(ask(key), otherwise, allowed);
-        if (found.isEmpty() && given(key)) {
-            complain(key, "an empty list; expected one text at least");
-            return otherwise;
+        var found = table.words(ask(key), null, allowed);
+        if (found != null && found.isEmpty()) {
+            complain(key, "is an empty list; expected one text at least");
         }
-        return found;
+        return found == null || found.isEmpty() ? otherwise : found;
     }
 
     Choice choice(String key, String otherwise, List<String> words) {
@@ -97,20 +101,20 @@
         var name = table.text("name", null);
         if (name == null) {
             if (!table.has("name")) {
-                table.complain("name", "missing; expected a name");
+                table.complain("name", "is missing; expected a name");
             }
             return "";
         }
         checkName(table, "name", name);
         if (!taken.add(name)) {
-            table.complain("name", "\"" + name + "\" for the second time; expected a name of its own");
+            table.complain("name", "is \"" + name + "\" for the second time; expected a name of its own");
         }
         return name;
     }
 
     static void checkName(TomlTable table, String key, String name) {
         if (!NAME.matcher(name).matches()) {
-            table.complain(key, "\"" + name + "\"; expected up to 40 letters, digits, dots, dashes or "
+            table.complain(key, "is \"" + name + "\"; expected up to 40 letters, digits, dots, dashes or "
                     + "underscores, a letter or digit first");
         }
     }
--- a/lab/src/main/java/ryemast/lab/scenario/SitePlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/SitePlan.java
@@ -1,7 +1,6 @@
 package ryemast.lab.scenario;
 
 import java.util.List;
-import java.util.Locale;
 import java.util.function.Function;
 import ryemast.lab.world.Chance;
 
@@ -69,12 +68,12 @@
         var window = in.millis("fall_window_ms", usual.fallWindow(), 1, A_MINUTE_MS);
         var start = in.number("start_capacity", coldest, 0.001, 1);
         if (start.high() > coldest) {
-            in.complain("start_capacity", start.high() + "; expected at most " + coldest
+            in.complain("start_capacity", "is " + start.high() + "; expected at most " + coldest
                     + ", with which the coldest kind of box may start");
         }
         var cold = in.seconds("cold_for_s", slowest, 0, A_DAY);
         if (cold.low() * Section.SECOND < slowest) {
-            in.complain("cold_for_s", cold.low() + "; expected at least " + slowest / Section.SECOND
+            in.complain("cold_for_s", "is " + cold.low() + "; expected at least " + slowest / Section.SECOND
                     + ", after which the slowest kind of box is warm");
         }
         var ask = in.seconds("ask_every_s", usual.askEvery(), 0.1, A_DAY);
@@ -99,9 +98,8 @@
         double tenant = fixed(in, "worst_tenant", usual.worstTenant(), none);
         double sum = whole + window + jobClass + tenant;
         if (Math.abs(sum - 1) > 0.01) {
-            in.complain("whole", String.format(Locale.ROOT,
-                    "whole, worst_window, worst_class and worst_tenant add up to "
-                    + "%.3g; expected 1", sum));
+            in.complain("whole", "makes whole, worst_window, worst_class and worst_tenant add up to "
+                    + Section.rounded(sum) + "; expected 1");
         }
         return new Scenario.Goal(whole, window, jobClass, tenant,
                 in.seconds("window_s", usual.window(), 0.1, A_DAY).time(none),
@@ -112,7 +110,7 @@
     private static double fixed(Section in, String key, double otherwise, Chance none) {
         var range = in.number(key, otherwise, 0, 1);
         if (range.low() != range.high()) {
-            in.complain(key, "a range; expected one number, as runs are compared by it");
+            in.complain(key, "is a range; expected one number, as runs are compared by it");
         }
         return range.low();
     }
