--- a/app/src/main/java/ryemast/log/Repeats.java
+++ b/app/src/main/java/ryemast/log/Repeats.java
@@ -30,6 +30,8 @@
     private final Map<Kind, Run> runs = new LinkedHashMap<>(16, 0.75f, true);
     /** No window ends before this one; so that a line costs no look at all the runs. */
     private long nextEnd = Long.MAX_VALUE;
+    /** What the filter says itself comes by here, too, on the thread that holds it. */
+    private boolean saying;
 
     /** No record: making the code that compares records would cost every start some milliseconds. */
     private static final class Kind {
@@ -65,17 +67,6 @@
         }
     }
 
-    /** What the filter has to say itself. */
-    private static final class Word extends LogRecord {
-        private static final long serialVersionUID = 1L;
-
-        Word(Kind kind, long at, String text) {
-            super(kind.level, text);
-            setLoggerName(kind.logger);
-            setInstant(Instant.ofEpochMilli(at));
-        }
-    }
-
     /**
      * @param limit   how many lines of a kind are let through in a window
      * @param window  how long that is, in milliseconds
@@ -89,7 +80,7 @@
 
     @Override
     public synchronized boolean isLoggable(LogRecord record) {
-        if (record instanceof Word) {
+        if (saying) {
             return true;
         }
         long now = record.getMillis();
@@ -140,8 +131,16 @@
     private void tell(Kind kind, Run run) {
         int held = run.seen - limit;
         if (held > 0) {
-            out.accept(new Word(kind, run.last, "held back " + held + " more such lines in "
-                    + (run.last - run.began) + " ms: " + kind.text));
+            var word = Note.of(kind.logger, kind.level,
+                    "held back {held} more such lines in {within_ms} ms: {kind}",
+                    "held", held, "within_ms", run.last - run.began, "kind", kind.text);
+            word.setInstant(Instant.ofEpochMilli(run.last));
+            saying = true;
+            try {
+                out.accept(word);
+            } finally {
+                saying = false;
+            }
         }
     }
 }
--- a/app/src/test/java/ryemast/it/OperatorIT.java
+++ b/app/src/test/java/ryemast/it/OperatorIT.java
@@ -60,6 +60,7 @@
             platform.program().toHandle().destroy();
             assertEquals(0, platform.program().waitFor());
             until(() -> !lines(platform, "held back 3 more such lines").isEmpty());
+            assertEquals(3, lines(platform, "held back").get(0).get("held").getAsInt());
             var answered = lines(platform, "answered 418");
             assertEquals(2, answered.size());
             assertEquals(first, answered.get(0).get("txn").getAsString());
--- a/core/src/main/java/ryemast/core/Note.java
+++ b/core/src/main/java/ryemast/core/Note.java
@@ -19,11 +19,20 @@
     private final String template;
     private final transient Map<String, Object> fields;
 
-    private Note(Logger logger, Level level, String template, Map<String, Object> fields) {
+    private Note(String logger, Level level, String template, Map<String, Object> fields) {
         super(level, filled(template, fields));
         this.template = template;
         this.fields = fields;
-        setLoggerName(logger.getName());
+        setLoggerName(logger);
+    }
+
+    /** One to be written by other means than a logger's. */
+    public static Note of(String logger, Level level, String template, Object... named) {
+        var fields = new LinkedHashMap<String, Object>();
+        for (int i = 0; i + 1 < named.length; i += 2) {
+            fields.put((String) named[i], named[i + 1]);
+        }
+        return new Note(logger, level, template, Collections.unmodifiableMap(fields));
     }
 
     /** {@code named}: a field's name, its value, the next one's name and so on. */
@@ -38,11 +47,7 @@
     /** {@code thrown} may be null. */
     public static void log(Logger logger, Level level, Throwable thrown, String template, Object... named) {
         if (logger.isLoggable(level)) {
-            var fields = new LinkedHashMap<String, Object>();
-            for (int i = 0; i + 1 < named.length; i += 2) {
-                fields.put((String) named[i], named[i + 1]);
-            }
-            var note = new Note(logger, level, template, Collections.unmodifiableMap(fields));
+            var note = of(logger.getName(), level, template, named);
             note.setThrown(thrown);
             logger.log(note);
         }
