--- a/lab/src/main/java/ryemast/lab/sockets/BoxConnection.java
+++ b/lab/src/main/java/ryemast/lab/sockets/BoxConnection.java
@@ -77,8 +77,8 @@
         if (txn != null && !head.second().equals(ClientPool.target(txn))) {
             txn = txn + " at " + head.second();
         }
-        return new Machine.Parcel(port.dispatcher(), txn, waits(head.header("x-remaining-ms")), firstByteAt, at,
-                request.body());
+        return new Machine.Parcel(port.dispatcher(), txn, waits(head.header("x-remaining-ms")), firstByteAt,
+                at, request.body());
     }
 
     private static long waits(String text) {
--- a/lab/src/main/java/ryemast/lab/sockets/BoxPort.java
+++ b/lab/src/main/java/ryemast/lab/sockets/BoxPort.java
@@ -115,7 +115,7 @@
             if (tries < MOST_TRIES) {
                 shard.at(shard.now() + AGAIN_AFTER, () -> untilDone(wanted, opening, tries + 1));
             } else {
-                LOG.severe("box " + machine.index() + " can't get back " + Addresses.text(address) + ": " + e);
+                LOG.severe("box " + machine.index() + " can't get " + Addresses.text(address) + ": " + e);
             }
         }
     }
--- a/lab/src/main/java/ryemast/lab/sockets/BoxPorts.java
+++ b/lab/src/main/java/ryemast/lab/sockets/BoxPorts.java
@@ -22,8 +22,8 @@
  * Lets thousands of boxes be reached: an address for each pair of dispatcher and box, all on one acceptor and
  * one selector for the connections.
  *
- * <p>Each dispatcher has a host of its own in 127.0.0.0/8, which no outgoing connection uses as its source: so
- * the kernel hands a port to nobody else while its box is down.
+ * <p>Each dispatcher has a host of its own in 127.0.0.0/8, which no outgoing connection uses as its source:
+ * so the kernel hands a port to nobody else while its box is down.
  */
 final class BoxPorts implements AutoCloseable {
 
--- a/lab/src/main/java/ryemast/lab/sockets/CallBacks.java
+++ b/lab/src/main/java/ryemast/lab/sockets/CallBacks.java
@@ -22,9 +22,9 @@
 /**
  * Carries call-backs to the dispatchers over kept connections, one call at a time on each.
  *
- * <p>A real box has connections of its own. Thousands of them would take all the descriptors that a dispatcher
- * has, so the mouths of a large site share one bounded set, which a proxy beside the boxes would also do; what
- * finds all of them busy waits its turn. Owned by the boxes' shard.
+ * <p>A real box has connections of its own. Thousands of them would take all the descriptors that a
+ * dispatcher has, so the mouths of a large site share one bounded set, which a proxy beside the boxes would
+ * also do; what finds all of them busy waits its turn. Owned by the boxes' shard.
  */
 final class CallBacks {
 
--- a/lab/src/main/java/ryemast/lab/sockets/CatalogueServer.java
+++ b/lab/src/main/java/ryemast/lab/sockets/CatalogueServer.java
@@ -22,9 +22,9 @@
 import ryemast.net.http.HttpMessage;
 
 /**
- * Discovery's addresses, one for each dispatcher: {@code GET /catalog/members}, once or as a watch, which is a
- * chunked answer without an end. What discovery says, and when, is the catalogue's own matter; here are only
- * the bytes. Owned by the boxes' shard.
+ * Discovery's addresses, one for each dispatcher: {@code GET /catalog/members}, once or as a watch, which is
+ * a chunked answer without an end. What discovery says, and when, is the catalogue's own matter; here are
+ * only the bytes. Owned by the boxes' shard.
  */
 final class CatalogueServer implements AutoCloseable {
 
--- a/lab/src/main/java/ryemast/lab/sockets/DispatcherProcess.java
+++ b/lab/src/main/java/ryemast/lab/sockets/DispatcherProcess.java
@@ -163,8 +163,8 @@
             socket.setSoTimeout(ANSWER_MS);
             socket.getOutputStream().write(("GET /_health HTTP/1.1\r\nHost: " + Addresses.text(address)
                     + "\r\nConnection: close\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
-            var start = new String(socket.getInputStream().readNBytes(OK_LENGTH), StandardCharsets.ISO_8859_1);
-            return start.endsWith(" 200");
+            var start = socket.getInputStream().readNBytes(OK_LENGTH);
+            return new String(start, StandardCharsets.ISO_8859_1).endsWith(" 200");
         } catch (IOException e) {
             return false;
         }
@@ -265,8 +265,8 @@
     synchronized DispatcherStats stats() {
         sample();
         double rss = Math.max(rssOfFormer, current == null ? 0 : current.figures.rssPeakMb());
-        return new DispatcherStats(number, cpuMicros() - cpuBefore, rss, readyMicros, readyCpuMicros, isAlive(), died, exitCode,
-                lastLines());
+        return new DispatcherStats(number, cpuMicros() - cpuBefore, rss, readyMicros, readyCpuMicros,
+                isAlive(), died, exitCode, lastLines());
     }
 
     List<String> lastLines() {
--- a/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
+++ b/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
@@ -35,17 +35,17 @@
  * A whole site around real dispatchers: boxes, discovery and clients in this process, on loopback sockets,
  * each dispatcher as a process of its own; everything happens as the scenario says and goes into the books.
  *
- * <p>Boxes, discovery and the timetable of faults live on one shard, clients on another; the selectors' threads
- * only read, parse and write. A shard needs some 50 microseconds a job, so that two of them carry more than one
- * dispatcher on one core can; more shards would share boxes whose changes discovery must see in order.
+ * <p>Boxes, discovery and the timetable of faults live on one shard, clients on another; the selectors'
+ * threads only read, parse and write. Two shards carry more than one dispatcher on one core can; with more of
+ * them, discovery would have to see the changes of boxes across threads.
  */
 public final class EmulatedSite implements AutoCloseable {
 
     /**
      * How the site is run.
      *
-     * @param command      a shell's command that starts a dispatcher as the platform does; null: {@code run} in
-     *                     {@code deploy/balancer.toml}
+     * @param command      a shell's command that starts a dispatcher as the platform does; null: {@code run}
+     *                     in {@code deploy/balancer.toml}
      * @param external     the address of a dispatcher that somebody else runs, or null; its configuration is
      *                     left in the folder, and there may be only one
      * @param folder       for configurations and logs; null: a temporary one, which goes with the site
@@ -270,8 +270,8 @@
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
         while (!interrupted && !DispatcherProcess.isHealthy(addresses.get(0))) {
             if (System.nanoTime() > end) {
-                throw new IOException("the dispatcher at " + options.external() + " does not answer GET /_health"
-                        + " with 200; its configuration is in " + file);
+                throw new IOException("the dispatcher at " + options.external() + " does not answer"
+                        + " GET /_health with 200; its configuration is in " + file);
             }
             pause(LOOK_MS);
         }
--- a/lab/src/main/java/ryemast/lab/sockets/Launch.java
+++ b/lab/src/main/java/ryemast/lab/sockets/Launch.java
@@ -11,8 +11,8 @@
  * How dispatchers are started: a shell's command, run in the repository's root as the platform does it.
  *
  * <p>No dispatcher outlives this process, however that ends: beside the program, its shell leaves a watcher
- * behind that reads a pipe held open here. When the pipe ends, even by SIGKILL, the watcher kills the program;
- * it knows it by its process id and its start time, so that no later process of that id is struck.
+ * behind that reads a pipe held open here. When the pipe ends, even by SIGKILL, the watcher kills the
+ * program; it knows it by process id and start time, so that no later process of that id is struck.
  *
  * @param root     where the command runs
  * @param command  such as {@code run} in {@code deploy/balancer.toml}; it should {@code exec} the program, so
@@ -23,7 +23,7 @@
     private static final String DEPLOY = "deploy/balancer.toml";
     private static final String JAR = "app/target/ryemast.jar";
 
-    /** As {@code deploy/balancer.toml} says, from the repository around the working folder or this program. */
+    /** As {@code deploy/balancer.toml} says, in the repository around the working folder or this program. */
     static Launch standard(List<String> jvmArgs) throws IOException {
         var root = findRoot();
         var deploy = root.resolve(DEPLOY);
@@ -32,7 +32,7 @@
             throw new IOException(deploy + ": run: missing; it says how a dispatcher is started");
         }
         if (!Files.exists(root.resolve(JAR))) {
-            throw new IOException(root.resolve(JAR) + " is not there; build it first: mvn -DskipTests package");
+            throw new IOException(root.resolve(JAR) + " is missing; build it first: mvn -DskipTests package");
         }
         return new Launch(root, withArgs(run, jvmArgs));
     }
@@ -57,7 +57,8 @@
                 }
             }
         }
-        throw new IOException("no " + DEPLOY + " in " + starts.get(0) + " or above it: where is the program?");
+        throw new IOException("no " + DEPLOY + " in " + starts.get(0) + " or above it: run this from the"
+                + " repository");
     }
 
     /**
--- a/lab/src/main/java/ryemast/lab/sockets/ProcFigures.java
+++ b/lab/src/main/java/ryemast/lab/sockets/ProcFigures.java
@@ -29,7 +29,8 @@
             cpuMicros = Math.max(cpuMicros, Math.max(byTicks(), bySchedule()));
             for (var line : Files.readAllLines(folder.resolve("status"))) {
                 if (line.startsWith("VmHWM:")) {
-                    rssPeakMb = Math.max(rssPeakMb, Long.parseLong(line.replaceAll("[^0-9]", "")) / KB_PER_MB);
+                    long peakKb = Long.parseLong(line.replaceAll("[^0-9]", ""));
+                    rssPeakMb = Math.max(rssPeakMb, peakKb / KB_PER_MB);
                 }
             }
         } catch (IOException | NumberFormatException | ArrayIndexOutOfBoundsException e) {
--- a/lab/src/main/java/ryemast/lab/sockets/Supervisor.java
+++ b/lab/src/main/java/ryemast/lab/sockets/Supervisor.java
@@ -90,8 +90,8 @@
                     + " before it was ready; its last lines:\n" + String.join("\n", stats.lastLines()));
         }
         if (ready == 0 && !interrupted) {
-            throw new IOException("no dispatcher was ready within " + patienceMs + " ms; the last lines of one:\n"
-                    + String.join("\n", processes.get(0).lastLines()));
+            throw new IOException("no dispatcher was ready within " + patienceMs
+                    + " ms; the last lines of one:\n" + String.join("\n", processes.get(0).lastLines()));
         }
     }
 
--- a/lab/src/test/java/ryemast/lab/sockets/EmulatedSiteIT.java
+++ b/lab/src/test/java/ryemast/lab/sockets/EmulatedSiteIT.java
@@ -39,7 +39,8 @@
     }
 
     private static long served(EmulatedSite site) {
-        return site.books().read().jobs().stream().map(JobStory::outcome).filter(Outcome.SERVED::equals).count();
+        return site.books().read().jobs().stream().map(JobStory::outcome).filter(Outcome.SERVED::equals)
+                .count();
     }
 
     private static void keepsTheRules(EmulatedSite site) {
--- a/lab/src/test/java/ryemast/lab/sockets/WrongDispatcher.java
+++ b/lab/src/test/java/ryemast/lab/sockets/WrongDispatcher.java
@@ -117,8 +117,9 @@
 
     private void send(HttpExchange from, String txn, byte[] body, int box) throws Exception {
         var address = list().getAsJsonArray("servers").get(box).getAsJsonObject().get("addr").getAsString();
+        var left = from.getRequestHeaders().getFirst("X-Remaining-Ms");
         var request = HttpRequest.newBuilder(URI.create("http://" + address + from.getRequestURI()))
-                .header("X-Txn", txn).header("X-Remaining-Ms", from.getRequestHeaders().getFirst("X-Remaining-Ms"))
+                .header("X-Txn", txn).header("X-Remaining-Ms", left)
                 .POST(HttpRequest.BodyPublishers.ofByteArray(body)).build();
         int status = client.send(request, BodyHandlers.discarding()).statusCode();
         if (status != 202) {
