--- a/lab/src/main/java/ryemast/lab/scenario/Aim.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Aim.java
@@ -39,7 +39,8 @@
                 .filter(each -> inZone < 0 || each.zones().contains(zones.get(inZone)))
                 .mapToLong(each -> (long) each.count().high()).sum();
         if (in.given("boxes") && boxes.low() > there) {
-            in.complain("boxes", "is " + (long) boxes.low() + "; expected at most the " + there + " that there are");
+            in.complain("boxes", "is " + (long) boxes.low() + "; expected at most the " + there
+                    + " that there are");
         } else if (there == 0 && (ofKind >= 0 || inZone >= 0)) {
             in.complain(inZone >= 0 ? "in_zone" : "of_kind",
                     "means no box that there is; expected a kind and a zone "
@@ -49,8 +50,8 @@
         boolean all = in.flag("all", false);
         var dispatchers = in.count("dispatchers", 1, 1, 64);
         if (in.given("dispatchers") && dispatchers.low() > leastDispatchers) {
-            in.complain("dispatchers", "is " + (long) dispatchers.low() + "; expected at most the " + leastDispatchers
-                    + " that there are");
+            in.complain("dispatchers", "is " + (long) dispatchers.low() + "; expected at most the "
+                    + leastDispatchers + " that there are");
         }
         return new Aim(said.contains("boxes") ? boxes : null, said.contains("share") ? share : null, ofKind,
                 inZone, all, dispatchers);
--- a/lab/src/main/java/ryemast/lab/scenario/DemandPlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/DemandPlan.java
@@ -104,7 +104,8 @@
             var stretch = in.number("stretch", usual.stretch(), 0, 1_000);
             var deadline = in.millis("deadline_ms", usual.deadline(), 1, AN_HOUR_MS);
             if (aim.high() > deadline.low()) {
-                in.complain("aim_ms", "is " + aim.high() + "; expected at most the deadline, " + deadline.low());
+                in.complain("aim_ms", "is " + aim.high() + "; expected at most the deadline, "
+                        + deadline.low());
             }
             var worth = in.number("worth", usual.worth(), 0, 1_000_000);
             var late = in.number("late_worth", usual.lateWorth(), 0, 1);
@@ -136,7 +137,8 @@
         double low = shares.stream().mapToDouble(Range::low).sum();
         double high = shares.stream().mapToDouble(Range::high).sum();
         if (!tables.isEmpty() && (low > 1 + NEARLY || high < 1 - NEARLY)) {
-            tables.get(0).complain("share", "makes the shares of all " + what + " add up to " + Section.rounded(low)
+            tables.get(0).complain("share", "makes the shares of all " + what + " add up to "
+                    + Section.rounded(low)
                     + (low == high ? "" : " to " + Section.rounded(high)) + "; expected 1");
         }
     }
--- a/lab/src/main/java/ryemast/lab/scenario/FaultPlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/FaultPlan.java
@@ -51,7 +51,8 @@
         double quarter = site.length().low() * Section.SECOND / 4;
         var at = in.seconds("at_s", quarter, 0, A_DAY);
         if (in.given("at_s") && at.high() >= site.length().low()) {
-            in.complain("at_s", "is " + at.high() + "; expected less than the run's length, " + site.length().low());
+            in.complain("at_s", "is " + at.high() + "; expected less than the run's length, "
+                    + site.length().low());
         }
         return rest(in, key, kinds, site, at, null, 0, Double.NaN);
     }
--- a/lab/src/main/java/ryemast/lab/site/Clients.java
+++ b/lab/src/main/java/ryemast/lab/site/Clients.java
@@ -178,7 +178,8 @@
                 return;
             }
             answered.incrementAndGet();
-            long next = time.now() + rest;
+            // Time must pass between two jobs of one client, or virtual time would stand still for ever.
+            long next = Math.max(time.now() + rest, job.askedAt() + 1);
             if (another && next < beganAt + scenario.length()) {
                 time.at(next, () -> {
                     if (!allSent) {
