Rehearse the emulator once, so that its first jobs don't wait for its classes

Change: before dispatchers start, a site of one box is played for half a second around a stub that passes jobs on.

--- a/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
+++ b/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
@@ -163,6 +163,7 @@
     }
 
     private void begin() throws IOException {
+        Rehearsal.once(scenario);
         Runtime.getRuntime().addShutdownHook(hook);
         folder = options.folder() != null ? Files.createDirectories(options.folder())
                 : Files.createTempDirectory("ryemast-site");
@@ -266,8 +267,10 @@
     private void awaitExternal() throws IOException {
         var file = folder.resolve("dispatcher-0.json");
         Files.writeString(file, configuration(0));
-        LOG.info("the dispatcher at " + options.external() + " finds its configuration in " + file);
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MS);
+        if (!DispatcherProcess.isHealthy(addresses.get(0))) {
+            LOG.info("the dispatcher at " + options.external() + " finds its configuration in " + file);
+        }
         while (!interrupted && !DispatcherProcess.isHealthy(addresses.get(0))) {
             if (System.nanoTime() > end) {
                 throw new IOException("the dispatcher at " + options.external() + " does not answer"
@@ -278,6 +281,11 @@
         callers.post(() -> front.ready(0, callers.now()));
     }
 
+    /** Where the first dispatcher reaches the first box. */
+    String boxAddress() {
+        return ports.address(0, 0);
+    }
+
     private boolean isAlive(int dispatcher) {
         return options.external() != null || supervisor.isAlive(dispatcher);
     }
