--- a/lab/src/main/java/ryemast/lab/cli/LoadCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/LoadCommand.java
@@ -3,6 +3,7 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -73,6 +74,8 @@
             return measured();
         } catch (BadCall e) {
             return Exit.badCall(e);
+        } catch (UncheckedIOException e) {
+            throw e.getCause();
         }
     }
 
