--- a/lab/src/main/java/ryemast/lab/books/MemoryBooks.java
+++ b/lab/src/main/java/ryemast/lab/books/MemoryBooks.java
@@ -14,8 +14,8 @@
  *
  * <p>Entries are immutable and small, names are those that {@link Tries} holds, kept once, and of bodies
  * and results only the {@link Fingerprint} is kept. A job that is served at its first try takes about 480
- * bytes, its try and name included, and its history 360 more once it is read (300,000 jobs, Java 17, heap after
- * collection); lateness goes into a histogram.
+ * bytes, its try and name included, and its history 360 more once it is read (300,000 jobs, Java 17, heap
+ * after collection); lateness goes into a histogram.
  */
 public final class MemoryBooks implements Books {
 
--- a/lab/src/main/java/ryemast/lab/cli/FailuresCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/FailuresCommand.java
@@ -17,7 +17,8 @@
     "against the share of requests that boxes reset; prints a Markdown table."})
 final class FailuresCommand implements Callable<Integer> {
 
-    @Option(names = "--boxes", paramLabel = "W", defaultValue = "20", description = "Boxes (${DEFAULT-VALUE}).")
+    @Option(names = "--boxes", paramLabel = "W", defaultValue = "20",
+            description = "Boxes (${DEFAULT-VALUE}).")
     private int boxes;
 
     @Option(names = "--rates", split = ",", paramLabel = "R", defaultValue = "100,500,1500",
@@ -80,7 +81,8 @@
     }
 
     private static Table table(List<LoadResult> results) {
-        var table = new Table("rate/s", "reset", "served", "refused", "failed", "no answer", "p50 ms", "p99 ms",
+        var table = new Table("rate/s", "reset", "served", "refused", "failed", "no answer", "p50 ms",
+                "p99 ms",
                 "us/job", "late ms", "note");
         for (var result : results) {
             var m = result.measured();
--- a/lab/src/main/java/ryemast/lab/load/Interval.java
+++ b/lab/src/main/java/ryemast/lab/load/Interval.java
@@ -29,7 +29,10 @@
         this.clock = clock;
     }
 
-    /** {@code elapsed}: of the run; {@code cpuMicros}: reads the dispatcher's processor time, below 0: unknown. */
+    /**
+     * {@code elapsed}: of the run; {@code cpuMicros}: reads the dispatcher's processor time, below 0:
+     * unknown.
+     */
     public <T> void look(long elapsed, T site, ToLongFunction<T> cpuMicros) {
         if (from == NONE && elapsed >= beginsAfter) {
             cpuFrom = cpuMicros.applyAsLong(site);
--- a/lab/src/main/java/ryemast/lab/load/LoadResult.java
+++ b/lab/src/main/java/ryemast/lab/load/LoadResult.java
@@ -20,7 +20,8 @@
 
     private static final double MICROS_PER_MS = 1e3;
     private static final String OPEN = "corrected: every job's time runs from when it was due";
-    private static final String CLOSED = "not applicable: in a closed loop a job is due when the one before it "
+    private static final String CLOSED =
+            "not applicable: in a closed loop a job is due when the one before it "
             + "has been answered";
 
     /** Whether nothing went wrong that makes the figures worthless. */
--- a/lab/src/main/java/ryemast/lab/load/Measured.java
+++ b/lab/src/main/java/ryemast/lab/load/Measured.java
@@ -48,7 +48,8 @@
                 latency.notServed();
             }
         }
-        return new Measured((to - from) / MICROS_PER_S, asked, counts[0], counts[1], counts[2], counts[3], ended,
+        return new Measured((to - from) / MICROS_PER_S, asked, counts[0], counts[1], counts[2], counts[3],
+                ended,
                 latency, cpuMicros);
     }
 
