--- a/lab/src/main/java/ryemast/lab/site/Clients.java
+++ b/lab/src/main/java/ryemast/lab/site/Clients.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.commons.rng.UniformRandomProvider;
 import ryemast.lab.books.Books;
+import ryemast.lab.books.Fingerprint;
 import ryemast.lab.books.Job;
 import ryemast.lab.books.Tries;
 import ryemast.lab.books.Try;
@@ -207,6 +208,8 @@
         private Timeline.Timer end;
         private Runnable goAway;
         private boolean whole;
+        /** Of the body, so that the judge sees whether a box got this very one. */
+        private long print;
         private boolean over;
 
         Request(Errand errand, Try sent) {
@@ -224,6 +227,7 @@
                 errand.over(0);
             });
             var body = Names.body(sent.txn(), scenario.load().bodyBytes());
+            print = Fingerprint.of(body);
             var job = sent.job();
             String org = scenario.tenants().isEmpty() ? "" : scenario.tenants().get(job.tenant()).name();
             goAway = caller.send(sent, scenario.classes().get(job.jobClass()).name(), org, body, this);
@@ -250,7 +254,7 @@
         public void sent(int dispatcher) {
             if (!over) {
                 whole = true;
-                books.asked(sent, dispatcher, time.now());
+                books.asked(sent, dispatcher, time.now(), print);
             }
         }
 
