Judge boxes by evidence of health, not by a second's wait after any failure

A single error, reset or refusal kept a box out for 1 to 16 s, so that at 5% resets and 500 jobs a second idle boxes refused 65% (2,521 of 3,871). ryemast.health keeps a belief for each box (well, flaky, down) by likelihood ratios against what the fleet shows, and gives it a share of traffic, trials and copies within one budget.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -13,6 +13,10 @@
 import pipitladder.Ledger.Attempt;
 import pipitladder.Ledger.Job;
 import pipitladder.Ledger.Worker;
+import ryemast.health.Health;
+import ryemast.health.Refusals.Cause;
+import ryemast.health.Sign;
+import ryemast.health.Standing;
 
 /**
  * All decisions of a dispatcher; its interface is in {@link Dispatcher} (Dispatcher.java).
@@ -31,13 +35,8 @@
     private static final double MEMORY = 0.97;
     /** Seconds for which a wait is remembered at least: longer than a queue of a few jobs lasts. */
     private static final double REMEMBERED = 3;
-    /** Seconds for which a worker that is down is avoided at most, so that its return is noticed. */
-    private static final double MOST_AVOIDED = 16;
     /** Slots that a kind is given until jobs show more or fewer; too many are seen as waits at once. */
     private static final double FIRST_SLOTS = 4;
-    /** Copies may add this part to the load, after a burst: a retry budget, so that they feed no jam. */
-    private static final double RESCUE_SHARE = 0.03;
-    private static final double RESCUE_BURST = 16;
     /** The second of two random choices takes most of the crowding off; more follow what all know. */
     private static final int CANDIDATES = 2;
     /** Rounds of probes for a job: a third pair finds a free worker wherever a fifth of them are free. */
@@ -48,6 +47,8 @@
     private static final double TOLD_WORTH = 0.01;
     /** What a message of few letters is charged as, in bytes. */
     private static final double MESSAGE = 16;
+    /** So sure that a job is lost, its copy is sent before the aim is in danger. */
+    private static final double SURELY = 0.7;
     /** A dispatcher keeps to this many times its candidates: its own sight and connections stay fresh. */
     private static final int POOL = 2;
 
@@ -67,24 +68,29 @@
     private final Map<Integer, Ledger.Estimate> kindSpeed = new LinkedHashMap<>();
     private final Map<Integer, Double> kindSlots = new LinkedHashMap<>();
     private final Map<Integer, Double> provenSlots = new LinkedHashMap<>();
-    private long way = Long.MAX_VALUE;
+    private final Health health;
     private final Ledger.Estimate fleetSpeed = new Ledger.Estimate();
     private final Ledger.Estimate jobWork = new Ledger.Estimate();
     private final List<Ledger.Credit> credits;
-    private final Map<String, Runnable> armed = new LinkedHashMap<>();
+    private final Map<String, Alarm> armed = new LinkedHashMap<>();
     private final Set<Job> gathered = new LinkedHashSet<>();
-    private double rescued;
     private double meanWeight = 1;
     private long bornAt = Long.MAX_VALUE;
     private long now;
     private Consumer<? super Action> out;
 
+    /** What a timer does, and when it should. */
+    private record Alarm(long dueAt, Runnable due) {
+    }
+
     public Brain(Settings settings, long seed) {
         this.settings = settings;
         random = new SplittableRandom(seed);
         long aim = settings.classes().stream().mapToLong(JobClass::aim).min().orElse((long) SECOND);
         period = Math.max(2 * settings.resolution(), aim / 40);
         sweepEvery = Math.max(period, aim / 4);
+        health = new Health(settings.startsReported(), settings.progressInterval(), period,
+                settings.dispatchers());
         double messagePrice = settings.prices().peerMessage() * (settings.dispatchers() - 1) * MESSAGE
                 / Prices.MESSAGE_BYTES;
         tellable = settings.limits().peerMessages() ? TOLD_WORTH / Math.max(TOLD_WORTH, messagePrice) : 0;
@@ -108,15 +114,17 @@
         } else if (event instanceof AttemptStarted started) {
             noteStart(attempt(started.request(), started.attempt()));
         } else if (event instanceof AttemptProgress progress) {
-            named(progress.worker()).heardAt = now;
+            named(progress.worker()).health.heard(now);
+            Optional.ofNullable(attempt(progress.request(), progress.attempt()))
+                    .filter(attempt -> !attempt.ended).ifPresent(attempt -> attempt.awaited.progressed(now));
         } else if (event instanceof TimerDue timer) {
-            Optional.ofNullable(armed.remove(timer.name())).ifPresent(Runnable::run);
+            Optional.ofNullable(armed.remove(timer.name())).ifPresent(this::ring);
         } else if (event instanceof WorkerList list) {
             follow(list);
         } else if (event instanceof ClientGone gone) {
             close(jobs.get(gone.request()));
         } else if (event instanceof ProbeEnded probe && probe.healthy()) {
-            named(probe.worker()).heardAt = now;
+            named(probe.worker()).health.heard(now);
             readReport(named(probe.worker()), probe.report());
         } else if (event instanceof PeerMessage message) {
             Ledger.Note.of(message.text()).ifPresent(this::book);
@@ -159,8 +167,13 @@
         arm("tick", period, this::placeRound);
     }
 
+    private void ring(Alarm alarm) {
+        health.woke(now, alarm.dueAt());
+        alarm.due().run();
+    }
+
     private void arm(String timer, long wait, Runnable due) {
-        if (armed.putIfAbsent(timer, due) == null) {
+        if (armed.putIfAbsent(timer, new Alarm(now + wait, due)) == null) {
             out.accept(new SetTimer(now + wait, timer));
         }
     }
@@ -187,7 +200,8 @@
         } else if (job.outstanding == 0 && more && (harmless(job) || keyRemembered(job))) {
             gather(job);
         } else if (job.outstanding == 0) {
-            giveUp(job);
+            giveUp(job, job.unusable ? Cause.UNUSABLE : now >= job.deadline ? Cause.OUT_OF_TIME
+                    : more ? Cause.MAY_HAVE_RUN : Cause.ATTEMPTS);
         }
     }
 
@@ -195,12 +209,20 @@
         if (job == null) {
             return;
         }
+        if (!job.closed && settings.limits().cancel()) {
+            job.attempts.stream().filter(attempt -> !attempt.ended && !attempt.awaited.isTrial())
+                    .forEach(this::cancel);
+        }
         job.closed = true;
         if (job.outstanding == 0) {
             jobs.remove(job.request.id());
         }
     }
 
+    private void cancel(Attempt attempt) {
+        out.accept(new Cancel(attempt.job.request.id(), attempt.job.attempts.indexOf(attempt)));
+    }
+
     /** Rules 1 to 4, whatever was decided: request open, no effect twice, no drained, no overrun worker. */
     private boolean permits(Job job, Worker worker) {
         return !job.closed && now < job.deadline && worker.info.state() == WorkerState.READY
@@ -264,6 +286,11 @@
         if (!permits(job, worker)) {
             return;
         }
+        if (job.attempts.isEmpty()) {
+            health.purse().firstSend(now);
+        } else if (job.outstanding == 0 && job.mayHaveRun()) {
+            health.purse().repeat(now);
+        }
         worker.sent(now, Math.max(job.work, jobWork.mean), settings.rules().coldWindow());
         worker.take(new Attempt(job, worker, now, now + (long) (worker.queueing * SECOND)));
         out.accept(new Send(job.request.id(), worker.id, 0));
@@ -272,9 +299,10 @@
     }
 
     /** A refusal promises that trying again is harmless; a failure promises nothing, nor does it invite. */
-    private void giveUp(Job job) {
+    private void giveUp(Job job, Cause cause) {
         boolean keyed = job.jobClass.effect() == Effect.KEYED && job.jobClass.keyScope() == KeyScope.ALL;
         if (!job.closed) {
+            health.refusals().count(cause);
             boolean invite = !job.unusable && (harmless(job) || keyed);
             out.accept(invite ? new Refuse(job.request.id(), comeBackAfter()) : new Fail(job.request.id()));
         }
@@ -291,7 +319,9 @@
         var order = Comparator.comparing((Job job) -> job.overShare).thenComparing(job -> job.aimAt);
         var round = gathered.stream().filter(job -> !job.closed).sorted(order).toList();
         gathered.clear();
+        health.review(now);
         round.forEach(this::place);
+        health.news(now).forEach(line -> out.accept(new Log(line)));
     }
 
     /** Brings a worker's x, alpha and expected wait up to now. */
@@ -303,8 +333,8 @@
         double ahead = worker.work + worker.toldWork(now, worker.speed);
         double used = Math.max(1, worker.usedSlots + worker.told.size());
         worker.queueing = Math.max(0, used - slots + 1) * ahead / used / worker.rate;
-        double unanswered = worker.probedAt > worker.heardAt ? jobWork.mean / worker.rate : 0;
-        double seen = Math.max(excess(worker), overdue(worker)) + unanswered;
+        double unanswered = worker.probedAt > worker.health.heardAt() ? jobWork.mean / worker.rate : 0;
+        double seen = Math.max(excess(worker), worker.health.delay(now)) + unanswered;
         worker.wait = worker.queueing + seen;
         worker.x = ahead + seen * worker.rate;
     }
@@ -349,7 +379,8 @@
         int left = wanted < reach ? POOL * reach * wanted : 0;
         while (left-- > 0 && drawn.size() < wanted) {
             var worker = from.get(random.nextInt(reach));
-            if (worker == except || drawn.contains(worker) || !permits(job, worker)) {
+            if (worker == except || drawn.contains(worker) || !permits(job, worker)
+                    || !fits(job, worker)) {
                 continue;
             }
             estimate(worker);
@@ -388,16 +419,40 @@
         return best;
     }
 
+    /** Before the payoff ranks: a worker that fails many jobs, or failed this one, only if no other will do. */
+    private boolean fits(Job job, Worker worker) {
+        boolean asWell = job.jobClass.effect() == Effect.UNSAFE
+                ? worker.health.standing() == Standing.FULL : worker.health.admits();
+        return asWell && !job.failedAt(worker);
+    }
+
+    /**
+     * Guards against leaving a worker out for good: now and then one that is set aside gets a job. Where
+     * second copies are allowed, the job goes to another one as well, so that no client waits for the sick.
+     */
+    private Worker trialFor(Job job) {
+        var due = health.trialDue(now);
+        var worker = due == null ? null : workers.get(due.id());
+        boolean inTime = job.outstanding == 1
+                || now + job.length() * SECOND + settings.limits().connectTimeout() < job.aimAt;
+        return worker != null && job.jobClass.effect() == Effect.REPEATABLE && inTime
+                && health.purse().affordsRepeat(now) && permits(job, worker) ? worker : null;
+    }
+
     private Worker best(Job job, List<Worker> candidates) {
         Worker best = null;
         double bestGain = 0;
         double bestFinish = 0;
         double longest = 0;
+        boolean anyFits = candidates.stream().anyMatch(worker -> fits(job, worker));
         for (var worker : candidates) {
             estimate(worker);
             longest = Math.max(longest, clearing(worker, 0));
         }
         for (var worker : candidates) {
+            if (anyFits && !fits(job, worker)) {
+                continue;
+            }
             double served = Math.min(job.work, Math.max(0, worker.cleared - worker.x));
             double gain = served * SECOND - Math.max(0, clearing(worker, job.work) - longest);
             double finish = finish(worker, job);
@@ -417,11 +472,17 @@
         if (misses && asksWorkers && job.draws < DRAWS && !over) {
             probeFor(job);
             gather(job);
+        } else if (job.mayHaveRun() && !health.purse().affordsRepeat(now)) {
+            giveUp(job, Cause.NO_BUDGET);
         } else if (best != null && !tooLate(job, best)) {
-            send(job, best);
-            rescued = Math.max(0, rescued - RESCUE_SHARE);
+            send(job, settings.limits().secondCopies() || trialFor(job) == null ? best : trialFor(job));
+            if (settings.limits().secondCopies() && trialFor(job) != null) {
+                health.purse().repeat(now);
+                send(job, trialFor(job));
+            }
         } else if (best != null || over) {
-            giveUp(job);
+            giveUp(job, best == null ? Cause.NO_BOX : job.overShare ? Cause.OVER_SHARE
+                    : best.wait > 2 * best.queueing ? Cause.SILENT : Cause.BUSY);
         } else {
             gather(job);
         }
@@ -455,24 +516,11 @@
         return worker.excess * Math.exp(-seconds / Math.max(REMEMBERED, worker.excess));
     }
 
-    /** How long signs that should have come are missing; a wait is likely to last as long again. */
-    private double overdue(Worker worker) {
-        return worker.attempts.stream().filter(attempt -> !attempt.lost)
-                .mapToLong(this::overdue).reduce(0, Math::max) / SECOND;
-    }
-
-    private long overdue(Attempt attempt) {
-        var worker = attempt.worker;
-        if (settings.startsReported() && attempt.startedAt == 0) {
-            return now - attempt.dueAt - Math.min(way, period) - period;
-        }
-        long run = (long) (2 * attempt.job.length() / Math.max(1e-3, worker.speed) * SECOND);
-        return now - Math.max(worker.heardAt, Math.max(attempt.startedAt, attempt.dueAt) + run);
-    }
-
     /** How long no sign of life came from a worker with a job overdue; without progress notes none can. */
     private long silence(Attempt attempt) {
-        return settings.progressInterval() > 0 ? Math.min(overdue(attempt), now - attempt.worker.heardAt) : 0;
+        long missing = attempt.awaited.missing(now);
+        return attempt.awaited.gone(now) > SURELY ? missing : settings.progressInterval() > 0
+                ? Math.min(missing, now - attempt.worker.health.heardAt()) : 0;
     }
 
     private void noteStart(Attempt attempt) {
@@ -482,7 +530,7 @@
         var worker = attempt.worker;
         long waited = now - attempt.sentAt;
         worker.started(attempt, now);
-        way = Math.min(way, waited);
+        long way = health.way();
         provenSlots.merge(worker.info.kind(), worker.runningSlots, Math::max);
         boolean prompt = waited <= way * 2 + period;
         double seen = worker.runningSlots + worker.toldBefore(attempt.sentAt);
@@ -496,17 +544,26 @@
 
     private void judge(Attempt attempt, Outcome outcome) {
         var worker = attempt.worker;
-        switch (outcome) {
-            case SUCCESS -> learnSpeed(attempt);
-            case ERROR, REJECTED, CONNECT_FAILED, RESET ->
-                worker.missed(now, Math.max(1, Math.min(MOST_AVOIDED, 2 * excess(worker))));
-            case CANCELLED, TIMED_OUT -> worker.missed(now, excess(worker) + overdue(attempt) / SECOND);
+        var sign = switch (outcome) {
+            case SUCCESS -> Sign.SERVED;
+            case ERROR -> Sign.ERROR;
+            case REJECTED -> Sign.TURNED_AWAY;
+            case CONNECT_FAILED -> Sign.NO_CONNECTION;
+            case RESET -> Sign.RESET;
+            case TIMED_OUT, CANCELLED -> Sign.NOTHING;
+            case NOT_SENT, UNUSABLE -> Sign.NO_EVIDENCE;
+        };
+        attempt.failed = sign != Sign.SERVED && sign != Sign.NO_EVIDENCE;
+        attempt.awaited.ended(sign, attempt.job.request.jobClass(), attempt.job.failedElsewhere(worker), now);
+        if (sign == Sign.SERVED) {
+            learnSpeed(attempt);
+        } else if (sign == Sign.TURNED_AWAY) {
+            worker.health.full(now, Math.max(period / SECOND, jobWork.mean / Math.max(1e-3, worker.rate)));
         }
     }
 
     private void learnSpeed(Attempt attempt) {
         var worker = attempt.worker;
-        worker.heardAt = now;
         if (warmth(worker) < 1) {
             return;
         }
@@ -533,6 +590,12 @@
     }
 
     private void sweep() {
+        if (settings.limits().cancel()) {
+            jobs.values().stream().filter(job -> !job.closed && job.outstanding == 2).map(Job::lastOut)
+                    .filter(attempt -> attempt.job.attempts.stream()
+                            .allMatch(each -> each.ended || each.awaited.gone(now) > SURELY))
+                    .toList().forEach(this::cancel);
+        }
         jobs.values().stream().filter(job -> !job.closed && job.outstanding == 1)
                 .map(Job::lastOut).filter(attempt -> attempt.lost || silence(attempt) > 0)
                 .sorted(Comparator.comparingLong((Attempt attempt) -> attempt.job.aimAt)).toList()
@@ -545,10 +608,10 @@
     /** Guards jobs against a silent worker: act when it will miss the aim and another worker would not. */
     private void rescue(Attempt attempt) {
         var job = attempt.job;
-        double remaining = attempt.lost ? Double.MAX_VALUE
+        double sure = attempt.awaited.gone(now);
+        double remaining = sure > SURELY ? Double.MAX_VALUE
                 : 2 * silence(attempt) / SECOND + job.length() / attempt.worker.speed;
-        double burst = Math.max(1, RESCUE_BURST / Math.sqrt(settings.dispatchers()));
-        if (rescued + 1 > burst || now + remaining * SECOND <= job.aimAt) {
+        if (!health.purse().affordsCopy(sure, now) || now + remaining * SECOND <= job.aimAt) {
             return;
         }
         boolean copies = settings.limits().secondCopies();
@@ -560,11 +623,11 @@
         if (!useful || wait > remaining / 2) {
             return;
         }
-        rescued++;
+        health.purse().copy(sure, now);
         if (copies) {
             send(job, other);
         } else if (settings.limits().cancel()) {
-            out.accept(new Cancel(job.request.id(), job.attempts.indexOf(attempt)));
+            cancel(attempt);
         }
     }
 
@@ -585,6 +648,7 @@
                 .sorted(Comparator.comparingInt(worker -> worker.order)).toList();
         near = ready.stream().filter(this::isNear).toList();
         far = ready.stream().filter(worker -> !isNear(worker)).toList();
+        health.list(ready.stream().map(worker -> worker.health).toList());
         meanWeight = ready.stream().mapToDouble(worker -> worker.info.weight()).average().orElse(1);
     }
 
@@ -593,12 +657,14 @@
     }
 
     private void update(WorkerInfo info) {
-        var worker = workers.computeIfAbsent(info.id(), id -> new Worker(id, settings.self()));
+        var worker = workers.computeIfAbsent(info.id(), id -> new Worker(id, settings.self(), health.box(id)));
         if (worker.info != null && info.startedAt() > worker.info.startedAt()) {
             worker.missed(now, 0);
+            worker.health.startedAnew();
             worker.giveUpOnSentBefore(info.startedAt());
         }
         worker.info = info;
+        worker.health.in(info.zone());
         byCode.put(worker.code, worker);
     }
 
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -9,6 +9,8 @@
 import pipitladder.Dispatcher.Request;
 import pipitladder.Dispatcher.WorkerInfo;
 import pipitladder.Dispatcher.WorkerState;
+import ryemast.health.Awaited;
+import ryemast.health.Box;
 
 /** The books that {@link Brain} keeps: what is out, where, since when. Nothing is decided here. */
 final class Ledger {
@@ -103,7 +105,8 @@
         /** Seconds waited beyond what own work explains. */
         double excess;
         long excessAt;
-        long heardAt;
+        /** What is believed of its health. */
+        final Box health;
         /** Time and work of every send within the last cold window. */
         private final ArrayDeque<double[]> recent = new ArrayDeque<>();
         /** Brought up to date for each round. */
@@ -114,8 +117,9 @@
         double queueing;
         double wait;
 
-        Worker(String id, int dispatcher) {
+        Worker(String id, int dispatcher, Box health) {
             this.id = id;
+            this.health = health;
             code = mixed(id.hashCode()) & Note.CODES - 1;
             order = mixed(code + dispatcher);
         }
@@ -165,7 +169,7 @@
         }
 
         void started(Attempt attempt, long now) {
-            heardAt = now;
+            attempt.awaited.started(now);
             attempt.startedAt = now;
             runningSlots += attempt.job.request.slots();
             work -= attempt.job.work / 2;
@@ -209,17 +213,22 @@
         final long sentAt;
         /** When it should start by own work alone. */
         final long dueAt;
+        final Awaited awaited;
         final double workAhead;
         long startedAt;
         boolean ended;
         boolean lost;
         boolean mayHaveRun = true;
 
+        /** Ended in trouble, whoever was to blame. */
+        boolean failed;
+
         Attempt(Job job, Worker worker, long sentAt, long dueAt) {
             this.job = job;
             this.worker = worker;
             this.sentAt = sentAt;
             this.dueAt = dueAt;
+            this.awaited = worker.health.sent(sentAt, dueAt, job.length() / Math.max(1e-3, worker.speed));
             this.workAhead = worker.work;
         }
     }
@@ -262,6 +271,25 @@
             return work / request.slots();
         }
 
+        boolean failedAt(Worker worker) {
+            for (var attempt : attempts) {
+                if (attempt.failed && attempt.worker == worker) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Whether an attempt at another worker has failed. */
+        boolean failedElsewhere(Worker worker) {
+            for (var attempt : attempts) {
+                if (attempt.failed && attempt.worker != worker) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         /** The attempt that is out, where one is. */
         Attempt lastOut() {
             return attempts.stream().filter(attempt -> !attempt.ended).findFirst().orElseThrow();
--- /dev/null
+++ b/decisions/src/main/java/ryemast/health/Box.java
@@ -0,0 +1,292 @@
+package ryemast.health;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * The book of evidence about one box, and what is believed of it.
+ *
+ * <p>A box is well, flaky (half of its jobs fail) or down (nothing gets through). The belief is the posterior
+ * of these three after every sign, which is Wald's sequential likelihood ratio test with Shiryaev's prior for
+ * a change that may come at any time; it ages towards the prior. What a well box would show comes from the
+ * fleet ({@link CommonRates}), so that trouble which all boxes share blames none. Signs that are missing now
+ * ({@link Awaited}) weigh in as long as they are missing, as in the phi accrual detector of Hayashibara et al.,
+ * and stay in the book if they never come.
+ */
+public final class Box {
+
+    private static final double SECOND = 1e6;
+    /** A box in a hundred is taken to be down before anything is known, and half as many flaky. */
+    private static final double USUALLY_DOWN = 0.01;
+    private static final double USUALLY_FLAKY = 0.005;
+    private static final double USUALLY_HANGS = 0.005;
+    /** What a box that is down lets through by chance, and what a flaky one does at least. */
+    private static final double DOWN_SERVES = 0.02;
+    /** A box that is down seldom answers that it is full. */
+    private static final double TURNS_AWAY = 0.2;
+    /** Seconds after which an opinion that nothing confirms has gone down to a third. */
+    private static final double MEMORY_SECONDS = 8;
+    /** Beyond this no sign of life could outweigh what was missing. */
+    private static final double MOST_RATIO = 1e6;
+
+    final String id;
+    int zone;
+    private final Health health;
+    private final List<Awaited> awaited = new ArrayList<>();
+    private double flaky = USUALLY_FLAKY;
+    private double down = USUALLY_DOWN;
+    private long believedAt;
+    /** How much more likely what is missing now is at a box that is down. */
+    private double missingRatio = 1;
+    private double missingWait;
+    private long missingAt = Long.MIN_VALUE;
+    private final int[] lately = new int[Sign.values().length];
+    /** When the latest sent of the jobs that have started was sent, and the latest started that has ended. */
+    private long startedSentAt = Long.MIN_VALUE;
+    private long endedStartedAt = Long.MIN_VALUE;
+    private long heardAt;
+    private int turnedAway;
+    private long fullUntil;
+    Standing standing = Standing.FULL;
+    double share = 1;
+    private double credit;
+    private long creditAt;
+    private long trialAt;
+    /** Trials in a row that have brought nothing so far. */
+    private int trials;
+    /** The last trouble was silence. */
+    private boolean quiet;
+
+    Box(Health health, String id) {
+        this.health = health;
+        this.id = id;
+    }
+
+    /** A job was sent here that should start at {@code dueAt} and run for {@code run} seconds. */
+    public Awaited sent(long now, long dueAt, double run) {
+        var job = new Awaited(this, now, dueAt, run);
+        awaited.add(job);
+        missingAt = Long.MIN_VALUE;
+        health.sends++;
+        credit -= standing == Standing.REDUCED ? 1 : 0;
+        if (standing == Standing.TRIAL) {
+            job.trial = true;
+            trialAt = now + pause();
+            trials++;
+        }
+        return job;
+    }
+
+    /** Where it is. */
+    public void in(int newZone) {
+        zone = newZone;
+    }
+
+    /** A sign of life that is about no job. */
+    public void heard(long now) {
+        heardAt = now;
+        missingAt = Long.MIN_VALUE;
+    }
+
+    public long heardAt() {
+        return heardAt;
+    }
+
+    void started(Awaited job, long now) {
+        health.silence.started(job, now);
+        heard(now);
+        startedSentAt = Math.max(startedSentAt, job.sentAt);
+        turnedAway = 0;
+    }
+
+    void ended(Awaited job, Sign sign, int jobClass, boolean failedBefore, long now) {
+        double ratio = sign == Sign.NOTHING && !isAlone(job)
+                ? health.silence.ratio(job, late(job, now), now) : 1;
+        awaited.remove(job);
+        missingAt = Long.MIN_VALUE;
+        age(now);
+        double well = 1 - flaky - down;
+        if (sign == Sign.SERVED) {
+            heard(now);
+            startedSentAt = Math.max(startedSentAt, job.sentAt);
+            endedStartedAt = Math.max(endedStartedAt, job.begunAt());
+            turnedAway = 0;
+            believe(well, flaky / 2, down * DOWN_SERVES);
+        } else if (sign == Sign.NOTHING) {
+            believe(well, flaky, down * ratio);
+        } else if (sign.isTrouble()) {
+            double expected = health.rates.expected(sign, jobClass, failedBefore);
+            believe(well * expected, flaky * (1 + expected) / 2, down * (1 - DOWN_SERVES));
+        } else if (sign == Sign.TURNED_AWAY) {
+            believe(well, flaky, down * TURNS_AWAY);
+            turnedAway++;
+        }
+        boolean trouble = sign.isTrouble() && (sign != Sign.NOTHING || ratio > 1);
+        lately[sign.ordinal()] += trouble ? 1 : 0;
+        if (sign == Sign.SERVED || trouble && sign != Sign.NOTHING) {
+            health.rates.count(sign, jobClass, health.mostSick() ? 1 : well, now);
+        }
+        if (sign == Sign.SERVED) {
+            trials = 0;
+            trialAt = now;
+        } else if (trouble) {
+            quiet = sign == Sign.NOTHING;
+        }
+        if (trouble || standing != Standing.FULL) {
+            health.changed(this);
+        }
+    }
+
+    /** With each trial in a row that brings nothing the next one comes later. */
+    private long pause() {
+        return quiet ? Math.min(Health.LONGEST_PAUSE_SILENT, Health.FIRST_PAUSE_SILENT << Math.min(8, trials))
+                : Math.min(Health.LONGEST_PAUSE, Health.FIRST_PAUSE << Math.min(8, trials));
+    }
+
+    private void believe(double wellNow, double flakyNow, double downNow) {
+        double sum = wellNow + flakyNow + downNow;
+        flaky = flakyNow / sum;
+        down = downNow / sum;
+    }
+
+    /** Beliefs fade towards what is usual, so that a sick box that nobody tries is tried again. */
+    private void age(long now) {
+        double kept = Math.exp((believedAt - now) / SECOND / MEMORY_SECONDS);
+        flaky = USUALLY_FLAKY + (flaky - USUALLY_FLAKY) * kept;
+        down = USUALLY_DOWN + (down - USUALLY_DOWN) * kept;
+        believedAt = now;
+    }
+
+    /** Its process is new: nothing that was known of it holds. */
+    public void startedAnew() {
+        flaky = USUALLY_FLAKY;
+        down = USUALLY_DOWN;
+        turnedAway = 0;
+        fullUntil = 0;
+        standing = Standing.FULL;
+        share = 1;
+        trials = 0;
+        heardAt = 0;
+        Arrays.fill(lately, 0);
+        awaited.forEach(job -> job.lost = true);
+        missingAt = Long.MIN_VALUE;
+    }
+
+    /** Whether the box goes on without this job: then what is missing is the job's matter, not the box's. */
+    boolean isAlone(Awaited job) {
+        boolean started = job.startedAt > 0 || !health.silence.startsTold;
+        return started ? job.begunAt() < endedStartedAt : job.sentAt < startedSentAt;
+    }
+
+    double late(Awaited job, long now) {
+        return health.silence.late(job, now, heardAt, health.awakeAt);
+    }
+
+    double hangs(Awaited job, long now) {
+        double odds = USUALLY_HANGS * health.silence.hangs(job, late(job, now), now);
+        return odds / (1 + odds);
+    }
+
+    private void look(long now) {
+        if (missingAt == now) {
+            return;
+        }
+        missingAt = now;
+        double ratio = 1;
+        double late = 0;
+        for (int i = 0; i < awaited.size(); i++) {
+            var job = awaited.get(i);
+            if (!job.lost && !isAlone(job)) {
+                double lateNow = late(job, now);
+                if (lateNow > 0) {
+                    late = Math.max(late, lateNow);
+                    ratio = Math.min(MOST_RATIO, ratio * health.silence.ratio(job, lateNow, now));
+                }
+            }
+        }
+        missingRatio = ratio;
+        missingWait = late;
+        if (ratio > 2) {
+            health.changed(this);
+        }
+    }
+
+    /** How likely it is by now that the box is flaky or down, signs that are missing included. */
+    public double sick(long now) {
+        age(now);
+        look(now);
+        double downNow = down * missingRatio;
+        return (flaky + downNow) / (1 - down + downNow);
+    }
+
+    /** Seconds that a job sent now would wait because of silence or fullness, as far as it is believed. */
+    public double delay(long now) {
+        look(now);
+        double silent = missingWait > 0 ? missingWait * sick(now) : 0;
+        return Math.max(silent, Math.max(0, fullUntil - now) / SECOND);
+    }
+
+    /** It turned a job away: with each in a row, twice the time until it is expected to have room. */
+    public void full(long now, double seconds) {
+        double pause = Math.min(1, seconds * Math.scalb(1.0, Math.min(10, turnedAway - 1)));
+        fullUntil = Math.max(fullUntil, now + (long) (pause * SECOND));
+    }
+
+    public String id() {
+        return id;
+    }
+
+    public Standing standing() {
+        return standing;
+    }
+
+    /** Whether a job may go here by the box's standing; if not, only where no other box will do. */
+    public boolean admits() {
+        return standing == Standing.FULL || standing == Standing.REDUCED && credit() >= 1;
+    }
+
+    /** Whether a job that may be repeated should go here now, to see whether the box is well again. */
+    public boolean trialDue(long now) {
+        return standing == Standing.TRIAL && now >= trialAt;
+    }
+
+    private double credit() {
+        credit = Math.min(2, credit + share * (health.sends - creditAt) / Math.max(1, health.listed()));
+        creditAt = health.sends;
+        return credit;
+    }
+
+    void stand(Standing next, double part, long now) {
+        if (next == Standing.TRIAL && standing != Standing.TRIAL) {
+            quiet |= missingRatio > 2;
+            trialAt = now + pause();
+        }
+        if (next == Standing.REDUCED && standing != Standing.REDUCED) {
+            credit = 0;
+            creditAt = health.sends;
+        }
+        if (next == Standing.FULL && standing != Standing.FULL) {
+            Arrays.fill(lately, 0);
+            trials = 0;
+        }
+        standing = next;
+        share = part;
+    }
+
+    /** What is believed now, with its reason in words. */
+    public Belief belief(long now) {
+        double sick = sick(now);
+        double downNow = down * missingRatio / (1 - down + down * missingRatio);
+        Sign most = null;
+        for (var sign : Sign.values()) {
+            if (sign.isTrouble() && lately[sign.ordinal()] > 0
+                    && (most == null || lately[sign.ordinal()] > lately[most.ordinal()])) {
+                most = sign;
+            }
+        }
+        var state = sick < 0.5 ? Belief.State.WELL : missingRatio > 2 && downNow > sick / 2
+                ? Belief.State.SILENT : downNow > sick / 2 ? Belief.State.DOWN : Belief.State.FLAKY;
+        return new Belief(id, state, sick, standing, share, most, missingWait);
+    }
+}
