Learn run times and lateness of the fleet, and tell hanging jobs from queues

The book now weighs how few jobs run so long (a fitted line, logistic tails) for three hypotheses, rescues what is probably gone, and counts the jobs of one queue once.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -475,10 +475,13 @@
         } else if (job.mayHaveRun() && !health.purse().affordsRepeat(now)) {
             giveUp(job, Cause.NO_BUDGET);
         } else if (best != null && !tooLate(job, best)) {
-            send(job, settings.limits().secondCopies() || trialFor(job) == null ? best : trialFor(job));
-            if (settings.limits().secondCopies() && trialFor(job) != null) {
+            boolean copies = settings.limits().secondCopies();
+            var instead = copies ? null : trialFor(job);
+            send(job, instead == null ? best : instead);
+            var beside = copies ? trialFor(job) : null;
+            if (beside != null) {
                 health.purse().repeat(now);
-                send(job, trialFor(job));
+                send(job, beside);
             }
         } else if (best != null || over) {
             giveUp(job, best == null ? Cause.NO_BOX : job.overShare ? Cause.OVER_SHARE
@@ -539,7 +542,9 @@
             kindSlots.put(worker.info.kind(), slots + (seen - slots) / (prompt ? 4 : 8));
         }
         double unexplained = Math.max(0, (now - attempt.dueAt - way) / SECOND);
-        worker.missed(now, (excess(worker) + unexplained) / 2);
+        if (!health.wasDeaf(now)) {
+            worker.missed(now, (excess(worker) + unexplained) / 2);
+        }
     }
 
     private void judge(Attempt attempt, Outcome outcome) {
@@ -554,17 +559,17 @@
             case NOT_SENT, UNUSABLE -> Sign.NO_EVIDENCE;
         };
         attempt.failed = sign != Sign.SERVED && sign != Sign.NO_EVIDENCE;
-        attempt.awaited.ended(sign, attempt.job.request.jobClass(), attempt.job.failedElsewhere(worker), now);
+        attempt.awaited.ended(sign, attempt.job.failedElsewhere(worker), now);
         if (sign == Sign.SERVED) {
             learnSpeed(attempt);
         } else if (sign == Sign.TURNED_AWAY) {
-            worker.health.full(now, Math.max(period / SECOND, jobWork.mean / Math.max(1e-3, worker.rate)));
+            worker.health.full(now, Math.max(period / SECOND, 4 * jobWork.mean / Math.max(1e-3, worker.rate)));
         }
     }
 
     private void learnSpeed(Attempt attempt) {
         var worker = attempt.worker;
-        if (warmth(worker) < 1) {
+        if (warmth(worker) < 1 || health.wasDeaf(now)) {
             return;
         }
         boolean timed = attempt.startedAt > 0;
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -228,7 +228,8 @@
             this.worker = worker;
             this.sentAt = sentAt;
             this.dueAt = dueAt;
-            this.awaited = worker.health.sent(sentAt, dueAt, job.length() / Math.max(1e-3, worker.speed));
+            this.awaited = worker.health.sent(sentAt, dueAt, job.length() / Math.max(1e-3, worker.speed),
+                    job.request.jobClass());
             this.workAhead = worker.work;
         }
     }
--- a/decisions/src/main/java/ryemast/health/Awaited.java
+++ b/decisions/src/main/java/ryemast/health/Awaited.java
@@ -7,18 +7,20 @@
     final long sentAt;
     /** When it should start by own work alone. */
     final long dueAt;
-    /** Its run time in microseconds, as expected when it was sent. */
+    /** Its run time in seconds, as expected when it was sent. */
     final double run;
+    final int jobClass;
     long startedAt;
     long progressAt;
     boolean lost;
     boolean trial;
 
-    Awaited(Box box, long sentAt, long dueAt, double run) {
+    Awaited(Box box, long sentAt, long dueAt, double run, int jobClass) {
         this.box = box;
         this.sentAt = sentAt;
         this.dueAt = dueAt;
-        this.run = run * 1e6;
+        this.run = run;
+        this.jobClass = jobClass;
     }
 
     public void started(long now) {
@@ -32,8 +34,8 @@
     }
 
     /** It is over; {@code failedBefore} if it had failed at another box as well. */
-    public void ended(Sign sign, int jobClass, boolean failedBefore, long now) {
-        box.ended(this, sign, jobClass, failedBefore, now);
+    public void ended(Sign sign, boolean failedBefore, long now) {
+        box.ended(this, sign, failedBefore, now);
     }
 
     long begunAt() {
@@ -45,9 +47,9 @@
         return trial;
     }
 
-    /** How likely it is that nothing will come of this job: its box is sick, or it hangs alone. */
+    /** How likely it is that nothing will come of this job: its box is sick, or it hangs alone, or both. */
     public double gone(long now) {
-        return lost ? 1 : Math.max(box.sick(now), box.hangs(this, now));
+        return lost ? 1 : box.gone(this, now);
     }
 
     /** Microseconds since something of this job should have come, 0 or less if nothing is missing. */
--- a/decisions/src/main/java/ryemast/health/Box.java
+++ b/decisions/src/main/java/ryemast/health/Box.java
@@ -20,9 +20,12 @@
     /** A box in a hundred is taken to be down before anything is known, and half as many flaky. */
     private static final double USUALLY_DOWN = 0.01;
     private static final double USUALLY_FLAKY = 0.005;
+    /** A job in so many hangs whatever its box. */
     private static final double USUALLY_HANGS = 0.005;
     /** What a box that is down lets through by chance, and what a flaky one does at least. */
     private static final double DOWN_SERVES = 0.02;
+    /** So little was seen of a job that it counts as one that hangs. */
+    private static final double UNLIKELY = 0.1;
     /** A box that is down seldom answers that it is full. */
     private static final double TURNS_AWAY = 0.2;
     /** Seconds after which an opinion that nothing confirms has gone down to a third. */
@@ -37,8 +40,9 @@
     private double flaky = USUALLY_FLAKY;
     private double down = USUALLY_DOWN;
     private long believedAt;
-    /** How much more likely what is missing now is at a box that is down. */
-    private double missingRatio = 1;
+    /** How much more likely what is missing now is at a box that is down, and at a flaky one. */
+    private double missingDown = 1;
+    private double missingFlaky = 1;
     private double missingWait;
     private long missingAt = Long.MIN_VALUE;
     private final int[] lately = new int[Sign.values().length];
@@ -64,8 +68,8 @@
     }
 
     /** A job was sent here that should start at {@code dueAt} and run for {@code run} seconds. */
-    public Awaited sent(long now, long dueAt, double run) {
-        var job = new Awaited(this, now, dueAt, run);
+    public Awaited sent(long now, long dueAt, double run, int jobClass) {
+        var job = new Awaited(this, now, dueAt, run, jobClass);
         awaited.add(job);
         missingAt = Long.MIN_VALUE;
         health.sends++;
@@ -100,32 +104,34 @@
         turnedAway = 0;
     }
 
-    void ended(Awaited job, Sign sign, int jobClass, boolean failedBefore, long now) {
-        double ratio = sign == Sign.NOTHING && !isAlone(job)
-                ? health.silence.ratio(job, late(job, now), now) : 1;
+    void ended(Awaited job, Sign sign, boolean failedBefore, long now) {
+        double goesOn = sign == Sign.NOTHING ? health.silence.goesOn(job, now) : 1;
+        double atWell = atWell(job, goesOn);
+        boolean alone = isAlone(job);
         awaited.remove(job);
         missingAt = Long.MIN_VALUE;
         age(now);
         double well = 1 - flaky - down;
         if (sign == Sign.SERVED) {
             heard(now);
+            health.silence.served(job, now);
             startedSentAt = Math.max(startedSentAt, job.sentAt);
             endedStartedAt = Math.max(endedStartedAt, job.begunAt());
             turnedAway = 0;
             believe(well, flaky / 2, down * DOWN_SERVES);
         } else if (sign == Sign.NOTHING) {
-            believe(well, flaky, down * ratio);
+            believe(well * atWell, flaky * atFlaky(goesOn), down * (alone ? atWell : 1));
         } else if (sign.isTrouble()) {
-            double expected = health.rates.expected(sign, jobClass, failedBefore);
+            double expected = health.rates.expected(sign, job.jobClass, failedBefore);
             believe(well * expected, flaky * (1 + expected) / 2, down * (1 - DOWN_SERVES));
         } else if (sign == Sign.TURNED_AWAY) {
             believe(well, flaky, down * TURNS_AWAY);
             turnedAway++;
         }
-        boolean trouble = sign.isTrouble() && (sign != Sign.NOTHING || ratio > 1);
+        boolean trouble = sign.isTrouble() && (sign != Sign.NOTHING || goesOn < UNLIKELY);
         lately[sign.ordinal()] += trouble ? 1 : 0;
-        if (sign == Sign.SERVED || trouble && sign != Sign.NOTHING) {
-            health.rates.count(sign, jobClass, health.mostSick() ? 1 : well, now);
+        if (sign == Sign.SERVED || trouble) {
+            health.rates.count(sign, job.jobClass, health.mostSick() ? 1 : well, now);
         }
         if (sign == Sign.SERVED) {
             trials = 0;
@@ -180,11 +186,34 @@
     }
 
     double late(Awaited job, long now) {
-        return health.silence.late(job, now, heardAt, health.awakeAt);
+        return health.silence.late(job, now, heardAt);
     }
 
-    double hangs(Awaited job, long now) {
-        double odds = USUALLY_HANGS * health.silence.hangs(job, late(job, now), now);
+    /** How likely so little of a job is at a box that is well: it goes on, or is one of the few that hang. */
+    private double atWell(Awaited job, double goesOn) {
+        double hangs = health.silence.awaitsStart(job) ? health.silence.neverStarts
+                : health.rates.expected(Sign.NOTHING, job.jobClass, false);
+        return goesOn + hangs * (1 - goesOn);
+    }
+
+    /** And at a flaky one: half of the jobs hang. */
+    private static double atFlaky(double goesOn) {
+        return (1 + goesOn) / 2;
+    }
+
+    /** How likely it is that nothing will come of this job, by what is seen of the box's other jobs and of it. */
+    double gone(Awaited job, long now) {
+        look(now);
+        age(now);
+        double goesOn = health.silence.goesOn(job, now);
+        double atWell = atWell(job, goesOn);
+        boolean alone = isAlone(job);
+        double well = 1 - flaky - down;
+        double isFlaky = flaky * missingFlaky * atWell / atFlaky(goesOn);
+        double isDown = down * missingDown * (alone ? 1 : atWell);
+        double hangs = alone ? isFlaky / 2 : isFlaky / 2 + isDown;
+        double all = well + isFlaky + isDown;
+        double odds = (hangs + USUALLY_HANGS * well) / Math.max(1e-12, (all - hangs) * goesOn);
         return odds / (1 + odds);
     }
 
@@ -193,21 +222,28 @@
             return;
         }
         missingAt = now;
-        double ratio = 1;
+        double ratioDown = 1;
+        double ratioFlaky = 1;
         double late = 0;
+        double queue = 1;
         for (int i = 0; i < awaited.size(); i++) {
             var job = awaited.get(i);
-            if (!job.lost && !isAlone(job)) {
-                double lateNow = late(job, now);
-                if (lateNow > 0) {
-                    late = Math.max(late, lateNow);
-                    ratio = Math.min(MOST_RATIO, ratio * health.silence.ratio(job, lateNow, now));
+            double goesOn = job.lost ? 1 : health.silence.goesOn(job, now);
+            if (goesOn < 1) {
+                double atWell = atWell(job, goesOn);
+                boolean queues = health.silence.queues(job);
+                ratioFlaky = Math.min(MOST_RATIO, ratioFlaky * (queues ? 1 : atFlaky(goesOn) / atWell));
+                if (!isAlone(job)) {
+                    queue = Math.max(queue, queues ? 1 / atWell : 1);
+                    ratioDown = Math.min(MOST_RATIO, ratioDown / (queues ? 1 : atWell));
+                    late = Math.max(late, late(job, now));
                 }
             }
         }
-        missingRatio = ratio;
+        missingDown = ratioDown * queue;
+        missingFlaky = ratioFlaky;
         missingWait = late;
-        if (ratio > 2) {
+        if (ratioDown > 2 || ratioFlaky > 2) {
             health.changed(this);
         }
     }
@@ -216,8 +252,8 @@
     public double sick(long now) {
         age(now);
         look(now);
-        double downNow = down * missingRatio;
-        return (flaky + downNow) / (1 - down + downNow);
+        double sickNow = flaky * missingFlaky + down * missingDown;
+        return sickNow / (1 - flaky - down + sickNow);
     }
 
     /** Seconds that a job sent now would wait because of silence or fullness, as far as it is believed. */
@@ -259,7 +295,7 @@
 
     void stand(Standing next, double part, long now) {
         if (next == Standing.TRIAL && standing != Standing.TRIAL) {
-            quiet |= missingRatio > 2;
+            quiet |= missingDown > 2;
             trialAt = now + pause();
         }
         if (next == Standing.REDUCED && standing != Standing.REDUCED) {
@@ -277,7 +313,7 @@
     /** What is believed now, with its reason in words. */
     public Belief belief(long now) {
         double sick = sick(now);
-        double downNow = down * missingRatio / (1 - down + down * missingRatio);
+        double downNow = down * missingDown / (1 - flaky - down + flaky * missingFlaky + down * missingDown);
         Sign most = null;
         for (var sign : Sign.values()) {
             if (sign.isTrouble() && lately[sign.ordinal()] > 0
@@ -285,7 +321,7 @@
                 most = sign;
             }
         }
-        var state = sick < 0.5 ? Belief.State.WELL : missingRatio > 2 && downNow > sick / 2
+        var state = sick < 0.5 ? Belief.State.WELL : missingDown > 2 && downNow > sick / 2
                 ? Belief.State.SILENT : downNow > sick / 2 ? Belief.State.DOWN : Belief.State.FLAKY;
         return new Belief(id, state, sick, standing, share, most, missingWait);
     }
--- a/decisions/src/main/java/ryemast/health/Health.java
+++ b/decisions/src/main/java/ryemast/health/Health.java
@@ -49,7 +49,9 @@
     private long newsAt;
     private final long stall;
     private boolean mostSick;
-    long awakeAt;
+    /** When we woke from our last stall, and how long that was. */
+    private long awakeAt = Long.MIN_VALUE / 2;
+    private long deafFor;
     long sends;
 
     /**
@@ -58,7 +60,7 @@
      * @param period            the time of a round, in which nothing is overdue
      */
     public Health(boolean startsTold, long progressInterval, long period, int dispatchers) {
-        silence = new Silence(startsTold, progressInterval, period, dispatchers);
+        silence = new Silence(this, startsTold, progressInterval, period, dispatchers);
         purse = new Purse(dispatchers);
         stall = 5 * period;
     }
@@ -93,9 +95,21 @@
     public void woke(long now, long dueAt) {
         if (now - dueAt > stall) {
             awakeAt = now;
+            deafFor = now - dueAt;
         }
     }
 
+    /** Whether what is heard now may have waited for us: its time tells nothing. */
+    public boolean wasDeaf(long now) {
+        return now <= awakeAt + stall;
+    }
+
+    /** The time since {@code from} in which we could have heard something, in seconds. */
+    double heardSince(long from, long now) {
+        long deaf = from < awakeAt ? Math.min(deafFor, awakeAt - from) : 0;
+        return (now - from - deaf) / 1e6;
+    }
+
     boolean mostSick() {
         return mostSick;
     }
--- a/decisions/src/test/java/pipitladder/FleetInTime.java
+++ b/decisions/src/test/java/pipitladder/FleetInTime.java
@@ -52,6 +52,7 @@
         final int zone;
         int slots = 4;
         int room = 24;
+        double speed = 1;
         double slowness = 1;
         double resets;
         double lost;
@@ -119,6 +120,10 @@
     int firstSends;
     int sends;
     int ranTwice;
+    /** By how much hints err, as the spread of a logarithm; work asked for, and served within its aim. */
+    double hintSpread;
+    double worked;
+    double inTime;
     private final Map<Integer, Integer> servedOfClass = new LinkedHashMap<>();
     private final Map<Integer, Integer> askedOfClass = new LinkedHashMap<>();
     private final List<Long> latencies = new ArrayList<>();
@@ -138,11 +143,19 @@
         return new JobClass(effect, KeyScope.ALL, -1, 400 * MS, 2, 10 * S, 1, 0, 5 * S);
     }
 
-    FleetInTime(int boxes, boolean startsTold, long seed, Effect... effects) {
-        var classes = Arrays.stream(effects).map(FleetInTime::jobClass).toList();
-        settings = new Settings(0, 1, 0, MS, true, false, startsTold, startsTold ? PROGRESS : 0, classes,
+    /** What Dispatcher needs to know about classes, and nothing special. */
+    static Settings settings(boolean startsTold, List<JobClass> classes) {
+        return new Settings(0, 1, 0, MS, true, false, startsTold, startsTold ? PROGRESS : 0, classes,
                 List.of(), List.of(), new Limits(5, true, true, false, false, false, 0, 250 * MS),
                 new Rules(10 * S, 9 * S, 0.3, 4, 2 * S), new Prices(0, 0, 0, 0));
+    }
+
+    FleetInTime(int boxes, boolean startsTold, long seed, Effect... effects) {
+        this(boxes, settings(startsTold, Arrays.stream(effects).map(FleetInTime::jobClass).toList()), seed);
+    }
+
+    FleetInTime(int boxes, Settings settings, long seed) {
+        this.settings = settings;
         random = new Random(seed);
         brain = new Brain(settings, seed);
         for (int i = 0; i < boxes; i++) {
@@ -162,25 +175,31 @@
         agenda.add(new Due(time, order++, what));
     }
 
-    /** Jobs at random times (Poisson) from now on, for so long. */
-    void load(double perSecond, long time, int jobClass, long work) {
+    /** Jobs at random times (Poisson) from now on, for so long, their work lognormal with that spread. */
+    void load(double perSecond, long time, int jobClass, long work, double spread) {
         double next = now;
         while (true) {
             next += -Math.log(1 - random.nextDouble()) / perSecond * S;
             if (next >= now + time) {
                 return;
             }
-            at((long) next, () -> ask(jobClass, work));
+            at((long) next, () -> ask(jobClass, (long) (work * Math.exp(spread * random.nextGaussian()))));
         }
     }
 
+    void load(double perSecond, long time, int jobClass, long work) {
+        load(perSecond, time, jobClass, work, 0);
+    }
+
     private void ask(int jobClass, long work) {
         long id = ++lastRequest;
         long left = settings.classes().get(jobClass).deadline();
         jobs.put(id, new Asked(jobClass, now, work, now + left));
         asked++;
         askedOfClass.merge(jobClass, 1, Integer::sum);
-        tell(new Request(id, jobClass, 0, 1, 0, work, left));
+        worked += work;
+        long hint = Math.max(MS, (long) (work * Math.exp(hintSpread * random.nextGaussian())));
+        tell(new Request(id, jobClass, 0, 1, 0, hint, left));
     }
 
     /** The dispatcher hears nothing and does nothing for so long; what comes meanwhile waits. */
@@ -283,7 +302,7 @@
                 continue;
             }
             double noise = Math.exp(0.2 * random.nextGaussian());
-            long takes = (long) (job.work * noise * machine.slowness);
+            long takes = (long) (job.work * noise * machine.slowness / machine.speed);
             for (long each = PROGRESS; settings.startsReported() && each < takes; each += PROGRESS) {
                 at(now + WAY + each, () -> note(run, new AttemptProgress(run.request, run.attempt, machine.id,
                         0.5)));
@@ -327,6 +346,8 @@
             served++;
             servedOfClass.merge(job.jobClass, 1, Integer::sum);
             latencies.add(now - job.at);
+            var kind = settings.classes().get(job.jobClass);
+            inTime += now - job.at <= kind.aim() + kind.aimStretch() * job.work ? job.work : 0;
         }
         tell(new AttemptEnded(run.request, run.attempt, machine.id, outcome, job.answered, null));
     }
