--- a/decisions/src/main/java/ryemast/health/Silence.java
+++ b/decisions/src/main/java/ryemast/health/Silence.java
@@ -95,7 +95,8 @@
         if (awaitsStart(job)) {
             double late = late(job, now, 0);
             // A wait in a queue is a sum of guesses, and errs by as much as it is long.
-            return late <= 0 ? 1 : Math.exp(-late * SECOND / (meanLate + job.dueAt - job.sentAt));
+            double seen = Math.exp(-late * SECOND / (meanLate + job.dueAt - job.sentAt));
+            return late <= 0 ? 1 : Math.max(neverStarts - NEVER_STARTS, seen);
         }
         if (progressInterval > 0 && startsTold
                 && health.heardSince(Math.max(job.startedAt, job.progressAt), now) * SECOND
