--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -47,8 +47,12 @@
     private static final double TOLD_WORTH = 0.01;
     /** What a message of few letters is charged as, in bytes. */
     private static final double MESSAGE = 16;
+    /** How much of an unexplained wait is left where slots are free again and no others send jobs. */
+    private static final double LASTING = 0.25;
     /** So sure that a job is lost, its copy is sent before the aim is in danger. */
     private static final double SURELY = 0.7;
+    /** So sure, it is given up. */
+    private static final double CERTAINLY = 0.95;
     /** A dispatcher keeps to this many times its candidates: its own sight and connections stay fresh. */
     private static final int POOL = 2;
 
@@ -101,6 +105,11 @@
         credits = settings.tenants().stream().map(tenant -> new Ledger.Credit()).toList();
     }
 
+    /** What is believed of the workers, and why jobs were not served. */
+    public Health health() {
+        return health;
+    }
+
     @Override
     public void handle(long time, Event event, Consumer<? super Action> actions) {
         require(time >= now, "the clock stepped back");
@@ -193,14 +202,16 @@
         judge(attempt, ended.outcome());
         readReport(attempt.worker, ended.report());
         job.unusable |= ended.outcome() == Outcome.UNUSABLE;
-        boolean more = !job.unusable && now < job.deadline
+        boolean dropped = ended.outcome() == Outcome.CANCELLED && now > job.aimAt
+                && job.jobClass.lateWorth() == 0;
+        boolean more = !job.unusable && now < job.deadline && !dropped
                 && job.attempts.size() < settings.limits().maxAttempts();
         if (job.closed || ended.requestClosed()) {
             close(job);
         } else if (job.outstanding == 0 && more && (harmless(job) || keyRemembered(job))) {
             gather(job);
         } else if (job.outstanding == 0) {
-            giveUp(job, job.unusable ? Cause.UNUSABLE : now >= job.deadline ? Cause.OUT_OF_TIME
+            giveUp(job, job.unusable ? Cause.UNUSABLE : dropped || now >= job.deadline ? Cause.OUT_OF_TIME
                     : more ? Cause.MAY_HAVE_RUN : Cause.ATTEMPTS);
         }
     }
@@ -334,7 +345,8 @@
         double used = Math.max(1, worker.usedSlots + worker.told.size());
         worker.queueing = Math.max(0, used - slots + 1) * ahead / used / worker.rate;
         double unanswered = worker.probedAt > worker.health.heardAt() ? jobWork.mean / worker.rate : 0;
-        double seen = Math.max(excess(worker), worker.health.delay(now)) + unanswered;
+        double unseen = worker.usedSlots < slots ? Math.max(LASTING, 1 - 1.0 / settings.dispatchers()) : 1;
+        double seen = Math.max(unseen * excess(worker), worker.health.delay(now)) + unanswered;
         worker.wait = worker.queueing + seen;
         worker.x = ahead + seen * worker.rate;
     }
@@ -596,10 +608,8 @@
 
     private void sweep() {
         if (settings.limits().cancel()) {
-            jobs.values().stream().filter(job -> !job.closed && job.outstanding == 2).map(Job::lastOut)
-                    .filter(attempt -> attempt.job.attempts.stream()
-                            .allMatch(each -> each.ended || each.awaited.gone(now) > SURELY))
-                    .toList().forEach(this::cancel);
+            jobs.values().stream().filter(job -> !job.closed && job.outstanding > 0).map(Job::lastOut)
+                    .filter(this::holdsForNothing).toList().forEach(this::cancel);
         }
         jobs.values().stream().filter(job -> !job.closed && job.outstanding == 1)
                 .map(Job::lastOut).filter(attempt -> attempt.lost || silence(attempt) > 0)
@@ -610,6 +620,13 @@
         }
     }
 
+    /** Guards workers' slots against jobs that hang: where a copy is out, or nothing is to be gained any more. */
+    private boolean holdsForNothing(Attempt attempt) {
+        var job = attempt.job;
+        boolean worthless = now > job.aimAt && job.jobClass.lateWorth() == 0;
+        return (worthless || job.outstanding == 2) && job.jobClass.effect() != Effect.UNSAFE && attempt.awaited.gone(now) > CERTAINLY;
+    }
+
     /** Guards jobs against a silent worker: act when it will miss the aim and another worker would not. */
     private void rescue(Attempt attempt) {
         var job = attempt.job;
--- a/decisions/src/main/java/ryemast/health/Box.java
+++ b/decisions/src/main/java/ryemast/health/Box.java
@@ -22,6 +22,10 @@
     private static final double USUALLY_FLAKY = 0.005;
     /** A job in so many hangs whatever its box. */
     private static final double USUALLY_HANGS = 0.005;
+    /** Whatever it was, a box may turn flaky, go down or be well again from one job to the next. */
+    private static final double TURNS_WELL = 0.001;
+    private static final double TURNS_FLAKY = 0.001;
+    private static final double TURNS_DOWN = 0.002;
     /** What a box that is down lets through by chance, and what a flaky one does at least. */
     private static final double DOWN_SERVES = 0.02;
     /** So little was seen of a job that it counts as one that hangs. */
@@ -120,7 +124,9 @@
             turnedAway = 0;
             believe(well, flaky / 2, down * DOWN_SERVES);
         } else if (sign == Sign.NOTHING) {
-            believe(well * atWell, flaky * atFlaky(goesOn), down * (alone ? atWell : 1));
+            double weight = weight(job, now);
+            believe(well * Math.pow(atWell, weight), flaky * Math.pow(atFlaky(goesOn), weight),
+                    down * Math.pow(alone ? atWell : 1, weight));
         } else if (sign.isTrouble()) {
             double expected = health.rates.expected(sign, job.jobClass, failedBefore);
             believe(well * expected, flaky * (1 + expected) / 2, down * (1 - DOWN_SERVES));
@@ -152,8 +158,11 @@
 
     private void believe(double wellNow, double flakyNow, double downNow) {
         double sum = wellNow + flakyNow + downNow;
-        flaky = flakyNow / sum;
-        down = downNow / sum;
+        double wellLeft = Math.max(TURNS_WELL, wellNow / sum);
+        double flakyLeft = Math.max(TURNS_FLAKY, flakyNow / sum);
+        double downLeft = Math.max(TURNS_DOWN, downNow / sum);
+        flaky = flakyLeft / (wellLeft + flakyLeft + downLeft);
+        down = downLeft / (wellLeft + flakyLeft + downLeft);
     }
 
     /** Beliefs fade towards what is usual, so that a sick box that nobody tries is tried again. */
@@ -196,6 +205,12 @@
         return goesOn + hangs * (1 - goesOn);
     }
 
+    /** What should have come long ago tells of long ago. */
+    private double weight(Awaited job, long now) {
+        long since = Math.max(0, now - health.silence.missingSince(job));
+        return Math.exp(-since / SECOND / MEMORY_SECONDS);
+    }
+
     /** And at a flaky one: half of the jobs hang. */
     private static double atFlaky(double goesOn) {
         return (1 + goesOn) / 2;
@@ -232,10 +247,13 @@
             if (goesOn < 1) {
                 double atWell = atWell(job, goesOn);
                 boolean queues = health.silence.queues(job);
-                ratioFlaky = Math.min(MOST_RATIO, ratioFlaky * (queues ? 1 : atFlaky(goesOn) / atWell));
+                double weight = weight(job, now);
+                ratioFlaky = Math.min(MOST_RATIO,
+                        ratioFlaky * (queues ? 1 : Math.pow(atFlaky(goesOn) / atWell, weight)));
                 if (!isAlone(job)) {
-                    queue = Math.max(queue, queues ? 1 / atWell : 1);
-                    ratioDown = Math.min(MOST_RATIO, ratioDown / (queues ? 1 : atWell));
+                    double ratio = Math.pow(1 / atWell, weight);
+                    queue = Math.max(queue, queues ? ratio : 1);
+                    ratioDown = Math.min(MOST_RATIO, ratioDown * (queues ? 1 : ratio));
                     late = Math.max(late, late(job, now));
                 }
             }
--- a/decisions/src/main/java/ryemast/health/CommonRates.java
+++ b/decisions/src/main/java/ryemast/health/CommonRates.java
@@ -19,9 +19,9 @@
     /** With many signs old ones fade faster: a spell of troubles is the norm after some hundred jobs. */
     private static final double FADE = 0.998;
     /** So many signs are the usual rates worth. */
-    private static final double USUAL_SIGNS = 30;
+    private static final double USUAL_SIGNS = 50;
     /** Fewer for a class, as a poisoned one must be seen before boxes are blamed for it. */
-    private static final double USUAL_SIGNS_OF_CLASS = 8;
+    private static final double USUAL_SIGNS_OF_CLASS = 20;
     /** Rates that count as certain would leave no sign that could tell. */
     private static final double MOST = 0.9;
     /** A job that has failed at another box as well is as likely at fault as the box. */
--- a/decisions/src/main/java/ryemast/health/Silence.java
+++ b/decisions/src/main/java/ryemast/health/Silence.java
@@ -63,6 +63,12 @@
         return startsTold && job.startedAt == 0;
     }
 
+    /** Since when its next sign is missing, about. */
+    long missingSince(Awaited job) {
+        return awaitsStart(job) ? job.dueAt : Math.max(job.progressAt + progressInterval,
+                begunAt(job) + (long) (2 * SECOND * runs.median(guess(job))));
+    }
+
     /** Whether it waits behind others: then what holds them up holds it up too. */
     boolean queues(Awaited job) {
         return awaitsStart(job) && job.dueAt > job.sentAt + period;
