--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -49,6 +49,8 @@
     private static final double MESSAGE = 16;
     /** How much of an unexplained wait is left where slots are free again and no others send jobs. */
     private static final double LASTING = 0.25;
+    /** A worker that turned a job away is full until so many mean jobs have ended there. */
+    private static final double FULL_JOBS = 4;
     /** So sure that a job is lost, its copy is sent before the aim is in danger. */
     private static final double SURELY = 0.7;
     /** So sure, it is given up. */
@@ -431,7 +433,7 @@
         return best;
     }
 
-    /** Before the payoff ranks: a worker that fails many jobs, or failed this one, only if no other will do. */
+    /** Before the payoff ranks: a worker that fails many jobs, or failed this one, only if no other fits. */
     private boolean fits(Job job, Worker worker) {
         boolean asWell = job.jobClass.effect() == Effect.UNSAFE
                 ? worker.health.standing() == Standing.FULL : worker.health.admits();
@@ -561,21 +563,13 @@
 
     private void judge(Attempt attempt, Outcome outcome) {
         var worker = attempt.worker;
-        var sign = switch (outcome) {
-            case SUCCESS -> Sign.SERVED;
-            case ERROR -> Sign.ERROR;
-            case REJECTED -> Sign.TURNED_AWAY;
-            case CONNECT_FAILED -> Sign.NO_CONNECTION;
-            case RESET -> Sign.RESET;
-            case TIMED_OUT, CANCELLED -> Sign.NOTHING;
-            case NOT_SENT, UNUSABLE -> Sign.NO_EVIDENCE;
-        };
-        attempt.failed = sign != Sign.SERVED && sign != Sign.NO_EVIDENCE;
+        var sign = attempt.end(outcome);
         attempt.awaited.ended(sign, attempt.job.failedElsewhere(worker), now);
         if (sign == Sign.SERVED) {
             learnSpeed(attempt);
         } else if (sign == Sign.TURNED_AWAY) {
-            worker.health.full(now, Math.max(period / SECOND, 4 * jobWork.mean / Math.max(1e-3, worker.rate)));
+            double room = FULL_JOBS * jobWork.mean / Math.max(1e-3, worker.rate);
+            worker.health.full(now, Math.max(period / SECOND, room));
         }
     }
 
@@ -620,11 +614,12 @@
         }
     }
 
-    /** Guards workers' slots against jobs that hang: where a copy is out, or nothing is to be gained any more. */
+    /** Guards slots against jobs that hang: where a copy is out, or nothing is to be gained any more. */
     private boolean holdsForNothing(Attempt attempt) {
         var job = attempt.job;
         boolean worthless = now > job.aimAt && job.jobClass.lateWorth() == 0;
-        return (worthless || job.outstanding == 2) && job.jobClass.effect() != Effect.UNSAFE && attempt.awaited.gone(now) > CERTAINLY;
+        return (worthless || job.outstanding == 2) && job.jobClass.effect() != Effect.UNSAFE
+                && attempt.awaited.gone(now) > CERTAINLY;
     }
 
     /** Guards jobs against a silent worker: act when it will miss the aim and another worker would not. */
@@ -679,7 +674,8 @@
     }
 
     private void update(WorkerInfo info) {
-        var worker = workers.computeIfAbsent(info.id(), id -> new Worker(id, settings.self(), health.box(id)));
+        var worker = workers.computeIfAbsent(info.id(),
+                id -> new Worker(id, settings.self(), health.box(id)));
         if (worker.info != null && info.startedAt() > worker.info.startedAt()) {
             worker.missed(now, 0);
             worker.health.startedAnew();
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -6,11 +6,13 @@
 import java.util.Optional;
 import java.util.regex.Pattern;
 import pipitladder.Dispatcher.JobClass;
+import pipitladder.Dispatcher.Outcome;
 import pipitladder.Dispatcher.Request;
 import pipitladder.Dispatcher.WorkerInfo;
 import pipitladder.Dispatcher.WorkerState;
 import ryemast.health.Awaited;
 import ryemast.health.Box;
+import ryemast.health.Sign;
 
 /** The books that {@link Brain} keeps: what is out, where, since when. Nothing is decided here. */
 final class Ledger {
@@ -232,6 +234,21 @@
                     job.request.jobClass());
             this.workAhead = worker.work;
         }
+
+        /** What its end tells of the worker. */
+        Sign end(Outcome outcome) {
+            var sign = switch (outcome) {
+                case SUCCESS -> Sign.SERVED;
+                case ERROR -> Sign.ERROR;
+                case REJECTED -> Sign.TURNED_AWAY;
+                case CONNECT_FAILED -> Sign.NO_CONNECTION;
+                case RESET -> Sign.RESET;
+                case TIMED_OUT, CANCELLED -> Sign.NOTHING;
+                case NOT_SENT, UNUSABLE -> Sign.NO_EVIDENCE;
+            };
+            failed = sign != Sign.SERVED && sign != Sign.NO_EVIDENCE;
+            return sign;
+        }
     }
 
     /** A request and its attempts. */
--- a/decisions/src/main/java/ryemast/health/Box.java
+++ b/decisions/src/main/java/ryemast/health/Box.java
@@ -11,8 +11,8 @@
  * of these three after every sign, which is Wald's sequential likelihood ratio test with Shiryaev's prior for
  * a change that may come at any time; it ages towards the prior. What a well box would show comes from the
  * fleet ({@link CommonRates}), so that trouble which all boxes share blames none. Signs that are missing now
- * ({@link Awaited}) weigh in as long as they are missing, as in the phi accrual detector of Hayashibara et al.,
- * and stay in the book if they never come.
+ * ({@link Awaited}) weigh in as long as they are missing, as in the phi accrual detector of Hayashibara et
+ * al., and stay in the book if they never come.
  */
 public final class Box {
 
@@ -216,7 +216,7 @@
         return (1 + goesOn) / 2;
     }
 
-    /** How likely it is that nothing will come of this job, by what is seen of the box's other jobs and of it. */
+    /** How likely it is that nothing will come of this job, by the box's other jobs and by its own. */
     double gone(Awaited job, long now) {
         look(now);
         age(now);
--- a/decisions/src/main/java/ryemast/health/Purse.java
+++ b/decisions/src/main/java/ryemast/health/Purse.java
@@ -5,8 +5,8 @@
  *
  * <p>As in Finagle and gRPC's A6, first sends pay in and extra sends draw, so that extra sends are a bounded
  * part of the load whatever goes wrong, and trouble can't feed itself. What a copy costs follows how sure the
- * suspicion is: where a box is surely down its copy is as good as a repeat, and where it may only be slow most
- * copies are for nothing. Money fades within seconds; a little always comes in, so that a spell leaves no debt.
+ * suspicion is: where a box is surely down a copy is as good as a repeat, and where it may only be slow most
+ * are for nothing. Money fades within seconds; a little always comes in, so that a spell leaves no debt.
  */
 public final class Purse {
 
--- a/decisions/src/main/java/ryemast/health/RunTimes.java
+++ b/decisions/src/main/java/ryemast/health/RunTimes.java
@@ -3,8 +3,8 @@
 /**
  * How long jobs run against what was expected of them, over the whole fleet.
  *
- * <p>Hints err, small ones downwards and large ones upwards, as rough guesses do; so the logarithm of the time
- * is a line in the logarithm of the guess, fitted by least squares in which old jobs fade. What is left over
+ * <p>Hints err, small ones downwards and large ones upwards, as rough guesses do; so the logarithm of the
+ * time is a line in that of the guess, fitted by least squares in which old jobs fade. What is left over
  * is taken as logistic, whose tails are heavier than the normal's: a job that takes ten times as long as most
  * is rare, not impossible.
  */
--- a/decisions/src/main/java/ryemast/health/Silence.java
+++ b/decisions/src/main/java/ryemast/health/Silence.java
@@ -3,8 +3,8 @@
 /**
  * How long a sign of a job is overdue, and how likely that is where nothing is wrong.
  *
- * <p>A detector by time-out asks how long; the phi accrual detector (Hayashibara et al. 2004, Cassandra's) asks
- * how unlikely so long a silence is by what was seen before. Here the fleet's own starts and run times are
+ * <p>A detector by time-out asks how long; the phi accrual detector (Hayashibara et al. 2004, Cassandra's)
+ * asks how unlikely so long a silence is by what was seen before. Here the fleet's starts and run times are
  * what was seen, and the answer is a likelihood that goes into the beliefs about boxes and jobs.
  */
 final class Silence {
@@ -89,7 +89,8 @@
             return health.heardSince(job.dueAt, now) - (Math.min(way, period) + period) / SECOND;
         }
         double run = health.heardSince(begunAt(job), now) - 2 * runs.median(guess(job));
-        double told = job.progressAt > 0 ? (now - job.progressAt - INTERVALS * progressInterval) / SECOND : run;
+        double told = job.progressAt == 0 ? run
+                : (now - job.progressAt - INTERVALS * progressInterval) / SECOND;
         return Math.min((now - heardAt) / SECOND, Math.min(run, told));
     }
 
--- a/decisions/src/test/java/pipitladder/FleetInTime.java
+++ b/decisions/src/test/java/pipitladder/FleetInTime.java
@@ -60,7 +60,7 @@
         double turnsAway;
         double hangs;
         double poisonedClass = -1;
-        /** It refuses connections; vanished, it lets them time out; silent, it takes jobs and does nothing. */
+        /** It refuses connections; vanished, they time out; silent, it takes jobs and does nothing. */
         boolean dead;
         boolean vanished;
         boolean silent;
@@ -296,7 +296,8 @@
             run.started = true;
             var job = jobs.get(run.request);
             job.ran++;
-            ranTwice += job.ran == 2 && settings.classes().get(job.jobClass).effect() == Effect.UNSAFE ? 1 : 0;
+            boolean once = settings.classes().get(job.jobClass).effect() == Effect.UNSAFE;
+            ranTwice += once && job.ran == 2 ? 1 : 0;
             if (settings.startsReported()) {
                 at(now + WAY, () -> note(run, new AttemptStarted(run.request, run.attempt, machine.id)));
             }
@@ -371,7 +372,8 @@
     }
 
     double servedShare(int jobClass) {
-        return (double) servedOfClass.getOrDefault(jobClass, 0) / Math.max(1, askedOfClass.getOrDefault(jobClass, 0));
+        return (double) servedOfClass.getOrDefault(jobClass, 0)
+                / Math.max(1, askedOfClass.getOrDefault(jobClass, 0));
     }
 
     long percentile(double part) {
@@ -385,8 +387,8 @@
 
     @Override
     public String toString() {
-        return String.format("asked %d served %d refused %d failed %d sends %d (%.3f) p50 %.1f p99 %.1f ms twice %d",
-                asked, served, refused, failed, sends, sendsPerServed(), percentile(0.5) / 1e3,
+        return String.format("asked %d served %d refused %d failed %d sends %d (%.3f) p50 %.1f p99 %.1f ms"
+                + " twice %d", asked, served, refused, failed, sends, sendsPerServed(), percentile(0.5) / 1e3,
                 percentile(0.99) / 1e3, ranTwice);
     }
 }
