Let a job that must run once go on when its client leaves; draw workers in linear time

With the health module, attempts still out were cancelled when a client left; for a sticker that would undo what the client may want though it can't wait. A mark on the worker takes the list's place; the same workers are drawn.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -68,6 +68,7 @@
     private List<Worker> near = List.of();
     private List<Worker> far = List.of();
     private double topAppeal;
+    private long draws;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<Integer, Worker> byCode = new LinkedHashMap<>();
     private final Map<Long, Job> jobs = new LinkedHashMap<>();
@@ -222,7 +223,8 @@
         if (job == null) {
             return;
         }
-        if (!job.closed && settings.limits().cancel()) {
+        // What must run once goes on: its client may want the effect though it no longer waits for the word.
+        if (!job.closed && settings.limits().cancel() && job.jobClass.effect() != Effect.UNSAFE) {
             job.attempts.stream().filter(attempt -> !attempt.ended && !attempt.awaited.isTrial())
                     .forEach(this::cancel);
         }
@@ -390,10 +392,11 @@
         int wanted = Math.max(CANDIDATES, (int) ((near.size() + far.size()) / spread));
         int reach = asksWorkers ? from.size() : Math.min(from.size(), POOL * wanted);
         var drawn = new ArrayList<Worker>();
+        draws++;
         int left = wanted < reach ? POOL * reach * wanted : 0;
         while (left-- > 0 && drawn.size() < wanted) {
             var worker = from.get(random.nextInt(reach));
-            if (worker == except || drawn.contains(worker) || !permits(job, worker)
+            if (worker == except || worker.drawn == draws || !permits(job, worker)
                     || !fits(job, worker)) {
                 continue;
             }
@@ -402,6 +405,7 @@
             topAppeal = Math.max(topAppeal * MEMORY, appeal);
             if (random.nextDouble() * topAppeal < appeal) {
                 drawn.add(worker);
+                worker.drawn = draws;
             }
         }
         if (drawn.isEmpty()) {
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -111,6 +111,8 @@
         final Box health;
         /** Time and work of every send within the last cold window. */
         private final ArrayDeque<double[]> recent = new ArrayDeque<>();
+        /** The last draw that took it; as a mark here, a draw of many costs no search in a list. */
+        long drawn;
         /** Brought up to date for each round. */
         double x;
         double speed;
--- a/decisions/src/test/java/pipitladder/BrainTest.java
+++ b/decisions/src/test/java/pipitladder/BrainTest.java
@@ -355,6 +355,20 @@
         assertEquals(List.of(), stage.all(Refuse.class));
     }
 
+    /** A child's sticker is still wanted when the tablet is shut; a puzzle that nobody waits for is not. */
+    @Test
+    void whatMustRunOnceGoesOnWhenItsClientHasLeftAndTheRestIsCancelled() {
+        for (var effect : List.of(Effect.UNSAFE, Effect.REPEATABLE)) {
+            var stage = new Stage(Stage.settings(effect, KeyScope.ALL));
+            stage.list(worker("a"));
+            assertEquals("a", stage.place(1));
+            stage.start(1, 0);
+            stage.tell(new Dispatcher.ClientGone(1));
+            stage.pass(10 * S);
+            assertEquals(effect == Effect.UNSAFE ? 0 : 1, stage.all(Cancel.class).size());
+        }
+    }
+
     @Test
     void brokenCallsAreNamedAndLeaveTheStateAsItWas() {
         var stage = repeatable();
