--- a/lab/src/main/java/ryemast/lab/cli/FailuresCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/FailuresCommand.java
@@ -88,7 +88,7 @@
             table.row(LoadOptions.plain(result.plan().rate()), new Share(result.plan().resets()).percent(),
                     LoadWords.percent(m.share(m.served())), LoadWords.percent(m.share(m.refused())),
                     LoadWords.percent(m.share(m.failed())), LoadWords.percent(m.share(m.unanswered())),
-                    LoadWords.bare(m.latency().percentile(50)), LoadWords.bare(m.latency().percentile(99)),
+                    LoadWords.cell(m.latency(), 50), LoadWords.cell(m.latency(), 99),
                     LoadWords.number(m.cpuMicrosPerJob(), 0), LoadWords.number(result.emulatorLateMs(), 1),
                     LoadWords.percent(m.stolen()), LoadWords.note(result));
         }
--- a/lab/src/main/java/ryemast/lab/cli/GrowthCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/GrowthCommand.java
@@ -96,8 +96,8 @@
             table.row(plan.boxes(), plan.closedLoop() ? "closed, " + plan.connections()
                     : LoadOptions.plain(plan.rate()) + "/s", LoadWords.number(m.servedPerSecond(), 0),
                     LoadWords.number(m.cpuMicrosPerJob(), 0), LoadWords.percent(m.busy()),
-                    LoadWords.bare(m.latency().percentile(50)), LoadWords.bare(m.latency().percentile(99)),
-                    LoadWords.bare(m.latency().percentile(99.9)), LoadWords.percent(m.share(m.served())),
+                    LoadWords.cell(m.latency(), 50), LoadWords.cell(m.latency(), 99),
+                    LoadWords.cell(m.latency(), 99.9), LoadWords.percent(m.share(m.served())),
                     LoadWords.number(result.rssMb(), 0), LoadWords.number(result.emulatorLateMs(), 1),
                     LoadWords.percent(m.stolen()), LoadWords.note(result));
         }
--- a/lab/src/main/java/ryemast/lab/cli/LoadWords.java
+++ b/lab/src/main/java/ryemast/lab/cli/LoadWords.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Locale;
+import ryemast.lab.load.Latency;
 import ryemast.lab.load.LatencyGoal;
 import ryemast.lab.load.LoadResult;
 import ryemast.lab.load.RateSearch.Found;
@@ -95,8 +96,8 @@
 
     static void step(Table table, Step<LoadResult> step) {
         var m = step.detail().measured();
-        table.row(Math.round(step.rate()), Math.round(m.servedPerSecond()), bare(m.latency().percentile(50)),
-                bare(m.latency().percentile(99)), bare(m.latency().percentile(99.9)), percent(m.busy()),
+        table.row(Math.round(step.rate()), Math.round(m.servedPerSecond()), cell(m.latency(), 50),
+                cell(m.latency(), 99), cell(m.latency(), 99.9), percent(m.busy()),
                 number(step.detail().emulatorLateMs(), 1), 
                 word(step.verdict()) + (step.repeated() ? " (again)" : ""));
     }
@@ -131,10 +132,15 @@
         return bare(micros) + " ms";
     }
 
-    static String bare(long micros) {
+    private static String bare(long micros) {
         return number(micros / MICROS_PER_MS, 1);
     }
 
+    /** In milliseconds, as a cell of a table; where nothing was served there is none. */
+    static String cell(Latency latency, double percentile) {
+        return latency.count() == 0 ? "-" : bare(latency.percentile(percentile));
+    }
+
     static String number(double value, int digits) {
         return String.format(Locale.ROOT, "%." + digits + "f", value);
     }
