--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -6,9 +6,13 @@
 import java.util.Optional;
 import java.util.regex.Pattern;
 import pipitladder.Dispatcher.JobClass;
+import pipitladder.Dispatcher.Outcome;
 import pipitladder.Dispatcher.Request;
 import pipitladder.Dispatcher.WorkerInfo;
 import pipitladder.Dispatcher.WorkerState;
+import ryemast.health.Awaited;
+import ryemast.health.Box;
+import ryemast.health.Sign;
 
 /** The books that {@link Brain} keeps: what is out, where, since when. Nothing is decided here. */
 final class Ledger {
@@ -103,9 +107,12 @@
         /** Seconds waited beyond what own work explains. */
         double excess;
         long excessAt;
-        long heardAt;
+        /** What is believed of its health. */
+        final Box health;
         /** Time and work of every send within the last cold window. */
         private final ArrayDeque<double[]> recent = new ArrayDeque<>();
+        /** The last draw that took it; as a mark here, a draw of many costs no search in a list. */
+        long drawn;
         /** Brought up to date for each round. */
         double x;
         double speed;
@@ -114,8 +121,9 @@
         double queueing;
         double wait;
 
-        Worker(String id, int dispatcher) {
+        Worker(String id, int dispatcher, Box health) {
             this.id = id;
+            this.health = health;
             code = mixed(id.hashCode()) & Note.CODES - 1;
             order = mixed(code + dispatcher);
         }
@@ -165,7 +173,7 @@
         }
 
         void started(Attempt attempt, long now) {
-            heardAt = now;
+            attempt.awaited.started(now);
             attempt.startedAt = now;
             runningSlots += attempt.job.request.slots();
             work -= attempt.job.work / 2;
@@ -209,19 +217,40 @@
         final long sentAt;
         /** When it should start by own work alone. */
         final long dueAt;
+        final Awaited awaited;
         final double workAhead;
         long startedAt;
         boolean ended;
         boolean lost;
         boolean mayHaveRun = true;
 
+        /** Ended in trouble, whoever was to blame. */
+        boolean failed;
+
         Attempt(Job job, Worker worker, long sentAt, long dueAt) {
             this.job = job;
             this.worker = worker;
             this.sentAt = sentAt;
             this.dueAt = dueAt;
+            this.awaited = worker.health.sent(sentAt, dueAt, job.length() / Math.max(1e-3, worker.speed),
+                    job.request.jobClass());
             this.workAhead = worker.work;
         }
+
+        /** What its end tells of the worker. */
+        Sign end(Outcome outcome) {
+            var sign = switch (outcome) {
+                case SUCCESS -> Sign.SERVED;
+                case ERROR -> Sign.ERROR;
+                case REJECTED -> Sign.TURNED_AWAY;
+                case CONNECT_FAILED -> Sign.NO_CONNECTION;
+                case RESET -> Sign.RESET;
+                case TIMED_OUT, CANCELLED -> Sign.NOTHING;
+                case NOT_SENT, UNUSABLE -> Sign.NO_EVIDENCE;
+            };
+            failed = sign != Sign.SERVED && sign != Sign.NO_EVIDENCE;
+            return sign;
+        }
     }
 
     /** A request and its attempts. */
@@ -262,6 +291,25 @@
             return work / request.slots();
         }
 
+        boolean failedAt(Worker worker) {
+            for (var attempt : attempts) {
+                if (attempt.failed && attempt.worker == worker) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        /** Whether an attempt at another worker has failed. */
+        boolean failedElsewhere(Worker worker) {
+            for (var attempt : attempts) {
+                if (attempt.failed && attempt.worker != worker) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
         /** The attempt that is out, where one is. */
         Attempt lastOut() {
             return attempts.stream().filter(attempt -> !attempt.ended).findFirst().orElseThrow();
