Run scenarios in virtual time with the real exchange and module

Before a change an operator wants to know what it would do; the emulated site gives one run in real time. The same boxes, clients, discovery and faults now also run on virtual time, with the real Loop, Exchange and decision module between modelled connections that follow the pool's own figures (RestLimit, Outcomes, Config.room).

--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -5,6 +5,7 @@
 import pipitladder.Brain;
 import ryemast.config.Config;
 import ryemast.config.ConfigException;
+import ryemast.config.Tuning;
 import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
@@ -23,7 +24,6 @@
     private static final Logger LOG = Logger.getLogger(Service.class.getName());
     /** Guards against a rehearsal that fails: clients are let in without one. */
     private static final long LONGEST_REHEARSAL = 2_000_000;
-    private static final long DRAIN_CHECK = 20_000;
 
     private final Config config;
     private final Loop loop;
@@ -38,21 +38,16 @@
         var settings = config.settings();
         loop = new Loop(new Clock()::now, settings.resolution());
         var tuning = config.tuning();
-        var limits = tuning.limits();
-        int sockets = Math.max(2 * limits.regionsShare(), config.sockets() - limits.reservedSockets());
-        int regions = sockets / limits.regionsShare();
-        int terminalSockets = sockets - regions;
-        int forCallBacks = Math.max(1, terminalSockets / limits.callBackShare());
-        int jobs = Math.min(config.maxOpen(), terminalSockets - forCallBacks);
-        exchange = new Exchange(loop, new Brain(settings, config.seed()), jobs,
-                settings.limits().maxAttempts(), config.grace(), limits.namesRemembered());
+        var room = config.room();
+        exchange = new Exchange(loop, new Brain(settings, config.seed()), room.jobs(),
+                settings.limits().maxAttempts(), config.grace(), tuning.limits().namesRemembered());
         transport = new Transport();
         table = new TableWatch(loop, exchange, transport, config.discovery(), config.tableReader(),
                 tuning.table());
         var pool = new RegionPool(loop, exchange, transport, table::address,
-                config.connectLimit(), config.connIdle(), regions, tuning.regions());
+                config.connectLimit(), config.connIdle(), room.regions(), tuning.regions());
         terminals = new TerminalServer(loop, exchange, transport,
-                new JobReader(config.lanes(), config.orgs()), terminalSockets, tuning.terminals());
+                new JobReader(config.lanes(), config.orgs()), room.terminals(), tuning.terminals());
         exchange.connect(pool, table);
     }
 
@@ -111,6 +106,6 @@
             loop.end();
             return;
         }
-        loop.at(loop.now() + DRAIN_CHECK, this::endWhenQuiet);
+        loop.at(loop.now() + Tuning.Ending.CHECK, this::endWhenQuiet);
     }
 }
--- a/app/src/main/java/ryemast/config/Config.java
+++ b/app/src/main/java/ryemast/config/Config.java
@@ -44,6 +44,25 @@
              "settings":{"areas":["z"],"models":["k"],"parties":[{"name":"t"}],
               "allowed":{"max_open":9},"categories":[{"name":"c","effect":"free"}]}}""";
 
+    /** How many connections there may be to workers and to us, and how many jobs may be open. */
+    public record Room(int regions, int terminals, int jobs) {
+    }
+
+    /** The descriptors, shared out as the tuning says. */
+    public Room room() {
+        var limits = tuning.limits();
+        int free = Math.max(2 * limits.regionsShare(), sockets - limits.reservedSockets());
+        int regions = free / limits.regionsShare();
+        int terminals = free - regions;
+        int forCallBacks = Math.max(1, terminals / limits.callBackShare());
+        return new Room(regions, terminals, Math.min(maxOpen, terminals - forCallBacks));
+    }
+
+    /** Reads the platform's file, already parsed, without any environment. */
+    public static Config of(JsonObject file, Tuning tuning) throws ConfigException {
+        return new Reader(Map.of(), file, tuning).config();
+    }
+
     /** For a start without clients, workers and discovery, at any port of this machine. */
     public static Config alone() throws ConfigException {
         return new Reader(Map.of(), JsonParser.parseString(ALONE).getAsJsonObject(), Tuning.DEFAULT).config();
--- a/app/src/main/java/ryemast/config/Tuning.java
+++ b/app/src/main/java/ryemast/config/Tuning.java
@@ -44,5 +44,8 @@
      * @param least        the program stays for so long at least
      */
     public record Ending(long clientsCome, long rest, long least) {
+
+        /** How often it looks whether all is answered. */
+        public static final long CHECK = 20_000;
     }
 }
--- a/core/src/main/java/ryemast/core/Loop.java
+++ b/core/src/main/java/ryemast/core/Loop.java
@@ -77,6 +77,19 @@
         }
     }
 
+    /**
+     * One turn with what is there by now, for those who drive the loop in a time of their own, in place of
+     * {@link #run}; true if there is work for the next one already.
+     */
+    public boolean turn() {
+        return turn(null) || !inbound.isEmpty();
+    }
+
+    /** When a turn is to come though nothing is posted, on the loop's clock. */
+    public long nextDue() {
+        return wheel.nextDue();
+    }
+
     /** One turn, with what was waited for, if anything came; true if it left work for the next one. */
     boolean turn(Runnable first) {
         var ready = new ArrayList<Runnable>();
--- a/lab/src/main/java/ryemast/lab/cli/Shortened.java
+++ b/lab/src/main/java/ryemast/lab/cli/Shortened.java
@@ -27,6 +27,6 @@
     private static Scenario with(Scenario s, long length, List<Fault> faults) {
         return new Scenario(s.name(), s.title(), s.seed(), length, s.resolution(), s.zones(), s.kinds(),
                 s.boxes(), s.classes(), s.tenants(), s.load(), s.clients(), s.dispatchers(), s.discovery(),
-                s.telling(), s.rules(), s.goal(), faults);
+                s.telling(), s.rules(), s.goal(), faults, s.model());
     }
 }
--- a/lab/src/main/java/ryemast/lab/scenario/Aim.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Aim.java
@@ -47,7 +47,7 @@
         }
         var share = in.number("share", 1, 0.0001, 1);
         boolean all = in.flag("all", false);
-        var dispatchers = in.count("dispatchers", 1, 1, 64);
+        var dispatchers = in.count("dispatchers", 1, 1, 256);
         if (in.given("dispatchers") && dispatchers.low() > leastDispatchers) {
             in.complain("dispatchers", "is " + (long) dispatchers.low() + "; expected at most the " + leastDispatchers
                     + " that there are");
--- a/lab/src/main/java/ryemast/lab/scenario/Scenario.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Scenario.java
@@ -15,7 +15,16 @@
 public record Scenario(String name, String title, long seed, long length, long resolution,
         List<String> zones, List<String> kinds, List<BoxSpec> boxes, List<JobClass> classes,
         List<Tenant> tenants, Load load, Clients clients, Dispatchers dispatchers, Discovery discovery,
-        Telling telling, Rules rules, Goal goal, List<Fault> faults) {
+        Telling telling, Rules rules, Goal goal, List<Fault> faults, Model model) {
+
+    /** With what holds where a file says nothing of the model. */
+    public Scenario(String name, String title, long seed, long length, long resolution, List<String> zones,
+            List<String> kinds, List<BoxSpec> boxes, List<JobClass> classes, List<Tenant> tenants, Load load,
+            Clients clients, Dispatchers dispatchers, Discovery discovery, Telling telling, Rules rules,
+            Goal goal, List<Fault> faults) {
+        this(name, title, seed, length, resolution, zones, kinds, boxes, classes, tenants, load, clients,
+                dispatchers, discovery, telling, rules, goal, faults, Defaults.MODEL);
+    }
 
     /** What a running job does when it is cancelled, or when its time is up: goes on, or is stopped too. */
     public enum CancelReach { NONE, QUEUED, ALL }
@@ -150,6 +159,18 @@
             double lateFail, double waste) {
     }
 
+    /**
+     * What only a run in virtual time has to be told; on real sockets the machine has its own.
+     *
+     * @param oneWay     what any message takes from one machine to another
+     * @param jitter     what it takes longer on average, exponentially distributed
+     * @param startTime  from a dispatcher's start until it takes clients in
+     * @param turnCost   what a turn of a dispatcher's loop takes
+     * @param eventCost  and for each thing that came for it
+     */
+    public record Model(long oneWay, long jitter, long startTime, long turnCost, long eventCost) {
+    }
+
     public enum FaultKind {
         /** The process dies: connections are reset, new ones refused; back after {@code lasts}, cold. */
         CRASH,
--- a/lab/src/main/java/ryemast/lab/scenario/ScenarioBuilder.java
+++ b/lab/src/main/java/ryemast/lab/scenario/ScenarioBuilder.java
@@ -32,6 +32,8 @@
     private Scenario.Goal goal = Defaults.GOAL;
     private List<Scenario.Fault> faults = Defaults.FAULTS;
 
+    private Scenario.Model model = Defaults.MODEL;
+
     private ScenarioBuilder() {
     }
 
@@ -57,7 +59,8 @@
         return copy.name(s.name()).title(s.title()).seed(s.seed()).length(s.length())
                 .resolution(s.resolution()).boxes(s.boxes()).classes(s.classes()).tenants(s.tenants())
                 .load(s.load()).clients(s.clients()).dispatchers(s.dispatchers()).discovery(s.discovery())
-                .telling(s.telling()).rules(s.rules()).goal(s.goal()).faults(s.faults());
+                .telling(s.telling()).rules(s.rules()).goal(s.goal()).faults(s.faults())
+                .model(s.model());
     }
 
     /** A class of jobs that all cost the same and are in time within the aim, in microseconds. */
@@ -174,8 +177,13 @@
         return this;
     }
 
+    public ScenarioBuilder model(Scenario.Model value) {
+        model = value;
+        return this;
+    }
+
     public Scenario build() {
         return new Scenario(name, title, seed, length, resolution, zones, kinds, boxes, classes, tenants,
-                load, clients, dispatchers, discovery, telling, rules, goal, faults);
+                load, clients, dispatchers, discovery, telling, rules, goal, faults, model);
     }
 }
--- a/lab/src/main/java/ryemast/lab/scenario/ScenarioFile.java
+++ b/lab/src/main/java/ryemast/lab/scenario/ScenarioFile.java
@@ -211,6 +211,6 @@
                 kinds.stream().map(KindPlan::name).toList(), boxes, classes, demand.drawTenants(capacity,
                 chance), demand.drawLoad(capacity, chance), demand.clients().apply(chance), dispatchers,
                 site.discovery().apply(chance), site.telling().apply(chance), site.rules().apply(chance),
-                site.goal(), drawnFaults);
+                site.goal(), drawnFaults, site.model().apply(chance));
     }
 }
--- a/lab/src/main/java/ryemast/lab/scenario/SitePlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/SitePlan.java
@@ -8,7 +8,7 @@
 record SitePlan(Function<Chance, Scenario.Dispatchers> dispatchers, Function<Chance, Scenario.Discovery>
         discovery,
         Choice weights, Function<Chance, Scenario.Telling> telling, Function<Chance, Scenario.Rules> rules,
-        Scenario.Goal goal, int leastDispatchers) {
+        Scenario.Goal goal, Function<Chance, Scenario.Model> model, int leastDispatchers) {
 
     private static final double A_DAY = 86_400;
     private static final double A_MINUTE_MS = 60_000;
@@ -18,11 +18,11 @@
 
     static SitePlan read(Function<String, Section> file, List<KindPlan> kinds) {
         var dispatchers = file.apply("dispatchers");
-        var count = dispatchers.count("count", Defaults.DISPATCHERS.count(), 1, 64);
+        var count = dispatchers.count("count", Defaults.DISPATCHERS.count(), 1, 256);
         var discovery = file.apply("discovery");
         return new SitePlan(dispatchers(dispatchers, count), discovery(discovery),
                 discovery.choice("weights", Weights.NOMINAL, Weights.class), telling(file.apply("telling")),
-                rules(file.apply("rules"), kinds), goal(file.apply("goal")), (int) count.low());
+                rules(file.apply("rules"), kinds), goal(file.apply("goal")), model(file.apply("model")), (int) count.low());
     }
 
     private static Function<Chance, Scenario.Dispatchers> dispatchers(Section in, Range count) {
@@ -89,6 +89,17 @@
                 attempts.count(chance), copies, cancel, advice, longest.time(chance), connect.time(chance));
     }
 
+    private static Function<Chance, Scenario.Model> model(Section in) {
+        var usual = Defaults.MODEL;
+        var oneWay = in.millis("one_way_ms", usual.oneWay(), 0, A_MINUTE_MS);
+        var jitter = in.millis("jitter_ms", usual.jitter(), 0, A_MINUTE_MS);
+        var start = in.millis("start_ms", usual.startTime(), 0, A_MINUTE_MS);
+        var turn = in.millis("turn_ms", usual.turnCost(), 0, A_MINUTE_MS);
+        var event = in.millis("event_ms", usual.eventCost(), 0, A_MINUTE_MS);
+        return chance -> new Scenario.Model(oneWay.time(chance), jitter.time(chance), start.time(chance),
+                turn.time(chance), event.time(chance));
+    }
+
     private static Scenario.Goal goal(Section in) {
         var usual = Defaults.GOAL;
         var none = new Chance(0);
--- a/lab/src/main/java/ryemast/lab/site/Box.java
+++ b/lab/src/main/java/ryemast/lab/site/Box.java
@@ -102,6 +102,28 @@
         return state == BoxState.READY || state == BoxState.DRAINING ? work.capacity() : 0;
     }
 
+    /**
+     * How a box really is.
+     *
+     * @param capacity  work in a microsecond with all cores busy; 0 when it is down, or machine and process
+     *                  are not to be reached
+     * @param lane      work in a microsecond that one job gets at most
+     * @param work      that of the jobs it holds and has still to do
+     * @param held      jobs that it holds, waiting or running
+     * @param free      slots that are free
+     * @param room      jobs that may still wait
+     * @param ill       whether some jobs that reach it now will never be served there
+     */
+    public record Present(BoxState state, double capacity, double lane, double work, int held, double free,
+            int room, boolean ill) {
+    }
+
+    /** What no dispatcher can see. */
+    public Present present() {
+        return new Present(state, capacity(), capacity() / Math.min(spec.cores(), spec.slots()), floor.left(),
+                floor.held(), floor.free(), floor.room(), ills.spoil());
+    }
+
     @Override
     public int index() {
         return spec.index();
--- a/lab/src/main/java/ryemast/lab/site/Floor.java
+++ b/lab/src/main/java/ryemast/lab/site/Floor.java
@@ -68,6 +68,31 @@
         return waiting.isEmpty() && stuck.isEmpty() && running.isEmpty();
     }
 
+    /** Work still to be done. */
+    double left() {
+        double left = 0;
+        for (var task : running) {
+            left += task.piece == null ? 0 : task.until - work.given(task.piece);
+        }
+        for (var task : waiting) {
+            left += task.until;
+        }
+        return left;
+    }
+
+    int held() {
+        return running.size() + waiting.size() + stuck.size();
+    }
+
+    double free() {
+        return spec.slots() - slotsInUse;
+    }
+
+    /** How many more may wait. */
+    int room() {
+        return spec.queue() - waiting.size() - stuck.size();
+    }
+
     /** Takes a job there is room for. */
     void take(Task task) {
         held.put(task.txn, task);
--- a/lab/src/main/java/ryemast/lab/site/Ills.java
+++ b/lab/src/main/java/ryemast/lab/site/Ills.java
@@ -36,6 +36,19 @@
         return false;
     }
 
+    /** Whether some requests or jobs that come now will not be served. */
+    boolean spoil() {
+        for (var fault : present) {
+            switch (fault.kind()) {
+                case RESETS, NEVER_STARTS, NEVER_ENDS, ERRORS, LOST, TURNED_AWAY -> {
+                    return true;
+                }
+                default -> { }
+            }
+        }
+        return false;
+    }
+
     /** Whether one of the kind strikes a request or job of this class; draws once for each that might. */
     boolean strikes(FaultKind kind, int jobClass) {
         boolean struck = false;
--- a/lab/src/main/java/ryemast/lab/sockets/CallBacks.java
+++ b/lab/src/main/java/ryemast/lab/sockets/CallBacks.java
@@ -12,6 +12,7 @@
 import java.util.function.IntFunction;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import ryemast.lab.site.Mouth;
+import ryemast.lab.site.Patience;
 import ryemast.net.Addresses;
 import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
@@ -28,10 +29,6 @@
  */
 final class CallBacks {
 
-    /** A dispatcher that stands still answers nothing; the box tries again. */
-    private static final long PATIENCE = 2_000_000;
-    private static final long SWEEP = 100_000;
-
     private record Post(HttpMessage message, IntConsumer answered, long until) {
     }
 
@@ -53,8 +50,8 @@
         this.shared = shared;
         this.most = most;
         connector = transport.connector(HttpCodec.responses(), new LinkHandler(shard.loop()));
-        connector.setConnectTimeoutMillis(PATIENCE / 1_000);
-        shard.at(shard.now() + SWEEP, this::sweep);
+        connector.setConnectTimeoutMillis(Patience.CALL_BACK / 1_000);
+        shard.at(shard.now() + Patience.CALL_BACK_SWEEP, this::sweep);
     }
 
     Mouth of(int box) {
@@ -65,13 +62,13 @@
             var message = new HttpMessage(head, json.getBytes(StandardCharsets.UTF_8));
             long key = (shared ? 0 : box + 1L) << Integer.SIZE | dispatcher;
             sets.computeIfAbsent(key, none -> new Lines(dispatcher))
-                    .take(new Post(message, answered, shard.now() + PATIENCE));
+                    .take(new Post(message, answered, shard.now() + Patience.CALL_BACK));
         };
     }
 
     private void sweep() {
         sets.values().forEach(Lines::sweep);
-        shard.at(shard.now() + SWEEP, this::sweep);
+        shard.at(shard.now() + Patience.CALL_BACK_SWEEP, this::sweep);
     }
 
     /** The connections that some boxes share to one dispatcher. */
--- a/lab/src/main/java/ryemast/lab/sockets/ClientPool.java
+++ b/lab/src/main/java/ryemast/lab/sockets/ClientPool.java
@@ -17,6 +17,7 @@
 import ryemast.lab.books.Try;
 import ryemast.lab.site.Caller;
 import ryemast.lab.site.Front;
+import ryemast.lab.site.Patience;
 import ryemast.net.Addresses;
 import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
@@ -36,11 +37,6 @@
  */
 final class ClientPool implements Caller, Line.Owner {
 
-    private static final long CONNECT_LIMIT_MS = 3_000;
-    /** Longer than a busy dispatcher needs from deciding to close a connection to closing it. */
-    private static final long CROSSING = 50_000;
-    /** After a kill, the supervisor knows of it by then. */
-    private static final long STILL_ALIVE = 20_000;
     private static final long MICROS_PER_MS = 1_000;
     private static final double MICROS_PER_S = 1e6;
 
@@ -72,7 +68,7 @@
         this.marksRetry = marksRetry;
         this.most = most;
         connector = transport.connector(HttpCodec.responses(), new LinkHandler(shard.loop()));
-        connector.setConnectTimeoutMillis(CONNECT_LIMIT_MS);
+        connector.setConnectTimeoutMillis(Patience.CONNECT / MICROS_PER_MS);
     }
 
     /** The path of a request of this name; boxes check that it has passed unchanged. */
@@ -218,13 +214,13 @@
             return;
         }
         call.line = null;
-        boolean crossed = line.isUsed() && !call.again && shard.now() - call.writtenAt < CROSSING;
+        boolean crossed = line.isUsed() && !call.again && shard.now() - call.writtenAt < Patience.CROSSING;
         if (!crossed) {
             call.broke();
             return;
         }
         call.again = true;
-        shard.at(shard.now() + STILL_ALIVE, () -> {
+        shard.at(shard.now() + Patience.STILL_ALIVE, () -> {
             if (call.over) {
                 return;
             }
--- a/lab/src/main/java/ryemast/lab/sockets/DispatcherSettings.java
+++ b/lab/src/main/java/ryemast/lab/sockets/DispatcherSettings.java
@@ -14,19 +14,19 @@
  * as it last knew them, and the settings under the platform's names and units. Nothing in it tells what the
  * site keeps to itself, such as true speeds, slots and queues.
  */
-final class DispatcherSettings {
+public final class DispatcherSettings {
 
     /** More than any dispatcher can hold; its descriptors bind first. */
     private static final int MAX_OPEN = 35_000;
 
     private final Scenario scenario;
 
-    DispatcherSettings(Scenario scenario) {
+    public DispatcherSettings(Scenario scenario) {
         this.scenario = scenario;
     }
 
     /** {@code known}: the list of boxes in discovery's form. */
-    JsonObject configuration(int dispatcher, String listen, String discovery, long seed, String known) {
+    public JsonObject configuration(int dispatcher, String listen, String discovery, long seed, String known) {
         var limits = new JsonObject();
         limits.addProperty("cores", Math.max(1, scenario.dispatchers().cores()));
         limits.addProperty("memory_mb", scenario.dispatchers().memoryMb());
--- a/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
+++ b/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
@@ -18,13 +18,13 @@
 import ryemast.lab.books.DispatcherStats;
 import ryemast.lab.books.MemoryBooks;
 import ryemast.lab.scenario.Scenario;
-import ryemast.lab.scenario.Scenario.JobClass;
 import ryemast.lab.site.Box;
 import ryemast.lab.site.Catalogue;
 import ryemast.lab.site.Clients;
 import ryemast.lab.site.DispatcherControl;
 import ryemast.lab.site.FaultInjector;
 import ryemast.lab.site.Front;
+import ryemast.lab.site.Patience;
 import ryemast.lab.site.Spells;
 import ryemast.lab.site.Tell;
 import ryemast.lab.world.Chance;
@@ -59,7 +59,7 @@
             int connections, int callBacks) {
 
         public static Options standard() {
-            return new Options(null, null, null, false, List.of(), 4_096, 0);
+            return new Options(null, null, null, false, List.of(), Patience.CONNECTIONS, 0);
         }
 
         public Options withCommand(String other) {
@@ -109,7 +109,6 @@
     }
 
     private static final Logger LOG = Logger.getLogger(EmulatedSite.class.getName());
-    private static final long AFTER_THE_LAST = 2_000_000;
     private static final long LOOK_MS = 50;
     private static final long TELL_MS = 200;
     private static final long READY_MS = 30_000;
@@ -321,7 +320,7 @@
      */
     public Ending run(Consumer<Progress> each) {
         long length = scenario.length();
-        long deadline = scenario.classes().stream().mapToLong(JobClass::deadline).max().orElse(0);
+        long deadline = Patience.longestDeadline(scenario, 0);
         supervisor.measureFromHere();
         long beganAt = clock.now();
         site.ask(() -> {
@@ -339,7 +338,7 @@
                 ending = Ending.DISPATCHER_DIED;
             } else if (clients.quiet()) {
                 ending = Ending.DONE;
-            } else if (elapsed > length + deadline + AFTER_THE_LAST) {
+            } else if (elapsed > length + deadline + Patience.AFTER_THE_LAST) {
                 ending = Ending.OVERLOADED;
             }
             if (ending != null || elapsed >= tellAt) {
--- a/lab/src/main/java/ryemast/lab/sockets/Supervisor.java
+++ b/lab/src/main/java/ryemast/lab/sockets/Supervisor.java
@@ -12,9 +12,9 @@
 import ryemast.lab.books.Books.DispatcherState;
 import ryemast.lab.books.DispatcherStats;
 import ryemast.lab.scenario.Scenario;
-import ryemast.lab.scenario.Scenario.JobClass;
 import ryemast.lab.site.DispatcherControl;
 import ryemast.lab.site.Front;
+import ryemast.lab.site.Patience;
 
 /**
  * Keeps the dispatchers' processes as the scenario's timetable says, tells the front of them and writes their
@@ -24,11 +24,6 @@
 
     private static final Logger LOG = Logger.getLogger(Supervisor.class.getName());
     private static final long SAMPLE_MS = 250;
-    /** A dispatcher that is told to end gets new connections for so long. */
-    private static final long STILL_COME = 300_000;
-    /** SIGKILL comes no sooner than this after a job's longest deadline, itself taken as so long at most. */
-    private static final long SPARE = 700_000;
-    private static final long LONGEST = 3_000_000;
     private static final int REFUSED_FOR_MS = 100;
 
     private final Scenario scenario;
@@ -128,7 +123,7 @@
         switch (state) {
             case READY -> clients.post(() -> front.ready(dispatcher, at));
             case TOLD_TO_END -> clients.post(() ->
-                    front.died(dispatcher, at + STILL_COME - scenario.dispatchers().notice()));
+                    front.died(dispatcher, at + Patience.STILL_COME - scenario.dispatchers().notice()));
             case KILLED, DIED -> clients.post(() -> front.died(dispatcher, at));
             default -> { }
         }
@@ -176,12 +171,11 @@
         synchronized (this) {
             startAnew[dispatcher] = true;
         }
-        long longest = scenario.classes().stream().mapToLong(JobClass::deadline).max().orElse(LONGEST);
         now(() -> {
             var process = processes.get(dispatcher);
             int life = process.starts();
             process.end();
-            later((Math.min(longest, LONGEST) + SPARE) / 1_000, () -> {
+            later(Patience.beforeKill(scenario) / 1_000, () -> {
                 if (process.starts() == life) {
                     process.kill();
                 }
--- a/net/src/main/java/ryemast/net/region/Call.java
+++ b/net/src/main/java/ryemast/net/region/Call.java
@@ -2,7 +2,6 @@
 
 import java.util.logging.Logger;
 import org.apache.mina.core.future.WriteFuture;
-import pipitladder.Dispatcher.Outcome;
 import ryemast.core.Exchange;
 import ryemast.core.Note;
 import ryemast.core.RoutedTask;
@@ -13,8 +12,6 @@
 final class Call {
 
     private static final Logger LOG = Logger.getLogger(Call.class.getName());
-    private static final int TAKEN = 202;
-    private static final int FAULT_OF_REQUEST = 400;
     private static final int ERROR = 500;
 
     final HttpMessage message;
@@ -50,7 +47,7 @@
             // Asked here and now: word of the write that came over the loop could come behind the break, and
             // a job that may have run would be sent again. Once its last byte is written, it may have run.
             boolean written = writing != null && writing.isWritten();
-            exchange.ended(task, written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+            exchange.ended(task, Outcomes.ofBreak(written));
         }
     }
 
@@ -60,7 +57,7 @@
         }
         int status = head.status();
         boolean turnedAway = (status == 503 || status == 504) && "1".equals(head.header("x-turned-away"));
-        if (status == TAKEN) {
+        if (status == Outcomes.TAKEN) {
             exchange.accepted(task);
             return;
         }
@@ -68,8 +65,6 @@
             Note.warning(LOG, "{worker} answered {status} to {txn}", "worker", task.worker(),
                     "status", status, "txn", task.submission().txn());
         }
-        // Guards workers against a bad client: what its request is answered with says nothing of the worker.
-        boolean unusable = status >= FAULT_OF_REQUEST && status < ERROR;
-        exchange.ended(task, turnedAway ? Outcome.REJECTED : unusable ? Outcome.UNUSABLE : Outcome.ERROR);
+        exchange.ended(task, Outcomes.ofAnswer(status, turnedAway));
     }
 }
--- a/net/src/main/java/ryemast/net/region/RegionPool.java
+++ b/net/src/main/java/ryemast/net/region/RegionPool.java
@@ -36,7 +36,8 @@
 public final class RegionPool implements Region {
 
     private static final Logger LOG = Logger.getLogger(RegionPool.class.getName());
-    private static final long SWEEP = 250_000;
+    /** How often connections that have rested for too long are looked for, in microseconds. */
+    public static final long SWEEP = 250_000;
 
     private final Loop loop;
     private final Exchange exchange;
@@ -44,10 +45,7 @@
     private final NioSocketConnector connector;
     private final RegionTuning tuning;
     private final long connectLimit;
-    private final long idleLimit;
-    /** The rest that connections are known to outlast: a part of the one after which one was found broken. */
-    private long restLimit;
-    private long restLimitSince;
+    private final RestLimit restLimit;
     private final int most;
     /** Idle connections by address; the one used last is taken first, so that spare ones can age. */
     private final Map<InetSocketAddress, Deque<RegionConnection>> idle = new HashMap<>();
@@ -67,9 +65,7 @@
         this.exchange = exchange;
         this.addresses = addresses;
         this.connectLimit = connectLimit;
-        // Well before the worker's own limit: a call that crosses its close would end as a reset.
-        this.idleLimit = connIdle * 3 / 4;
-        this.restLimit = idleLimit;
+        this.restLimit = new RestLimit(connIdle, tuning);
         this.most = most;
         this.tuning = tuning;
         connector = transport.connector(HttpCodec.responses(), new LinkHandler(loop));
@@ -115,7 +111,7 @@
         message.head().with("Host", Addresses.text(address));
         var call = new Call(exchange, task, message, loop.now());
         var pooled = idle.get(address);
-        if (pooled != null && rested(pooled.peekLast()) <= restLimit) {
+        if (pooled != null && rested(pooled.peekLast()) <= restLimit.limit()) {
             var connection = pooled.pollLast();
             if (pooled.isEmpty()) {
                 idle.remove(address);
@@ -144,17 +140,6 @@
         return loop.now() - connection.idleSince;
     }
 
-    /**
-     * Guards jobs against connections that are dead without a word, as a worker or a box on the way may drop
-     * them long before the settings say: a job written to one ends as a reset, and may not be repeated.
-     */
-    private void brokeAfter(long rest) {
-        restLimit = Math.max(tuning.leastRest(), Math.min(restLimit, rest / 2));
-        restLimitSince = loop.now();
-        Note.info(LOG, "a connection broke at its next use; from now on they rest {rest_ms} ms",
-                "rest_ms", restLimit / 1000);
-    }
-
     /** Guards the limit on sockets: an idle connection makes room. */
     private boolean dropOldestIdle() {
         var oldest = idle.values().stream().map(Deque::peekFirst)
@@ -164,12 +149,9 @@
     }
 
     private void sweep() {
-        if (restLimit < idleLimit && loop.now() - restLimitSince > tuning.forgiving()) {
-            restLimit = Math.min(idleLimit, 2 * restLimit);
-            restLimitSince = loop.now();
-        }
+        restLimit.forgive(loop.now());
         for (var connection : new ArrayList<>(open)) {
-            if (connection.call == null && rested(connection) > restLimit
+            if (connection.call == null && rested(connection) > restLimit.limit()
                     || connection.call != null && connection.call.overdue(loop.now(), tuning.patience())) {
                 connection.close();
             }
@@ -223,7 +205,8 @@
         @Override
         public void ended() {
             if (!closed && call != null && restBefore >= 0) {
-                brokeAfter(restBefore);
+                Note.info(LOG, "a connection broke at its next use; from now on they rest {rest_ms} ms",
+                        "rest_ms", restLimit.brokeAfter(restBefore, loop.now()) / 1000);
             }
             close();
         }
--- a/net/src/main/java/ryemast/net/terminal/CallBackReader.java
+++ b/net/src/main/java/ryemast/net/terminal/CallBackReader.java
@@ -9,13 +9,13 @@
 import ryemast.core.CallBack.State;
 
 /** Reads a worker's call-back. */
-final class CallBackReader {
+public final class CallBackReader {
 
     private CallBackReader() {
     }
 
     /** An {@link IOException} says what is wrong with the text. */
-    static CallBack read(byte[] body) throws IOException {
+    public static CallBack read(byte[] body) throws IOException {
         try (var in = new JsonReader(new StringReader(new String(body, StandardCharsets.UTF_8)))) {
             String id = null;
             String from = null;
--- a/net/src/main/java/ryemast/net/terminal/TerminalServer.java
+++ b/net/src/main/java/ryemast/net/terminal/TerminalServer.java
@@ -22,8 +22,10 @@
 /** The address that clients and the workers' call-backs come to, and the connections made to it. */
 public final class TerminalServer {
 
-    private static final long SWEEP = 250_000;
-    private static final long FULL_PAUSE_MS = 1;
+    /** How often connections that have rested for too long are looked for, in microseconds. */
+    public static final long SWEEP = 250_000;
+    /** How long the acceptor waits before it looks again for room. */
+    public static final long FULL_PAUSE_MS = 1;
 
     final Loop loop;
     final Exchange exchange;
