--- a/lab/src/main/java/ryemast/lab/model/policy/Reference.java
+++ b/lab/src/main/java/ryemast/lab/model/policy/Reference.java
@@ -97,6 +97,7 @@
     private final Map<String, Server> servers = new LinkedHashMap<>();
     private final Map<Long, Job> jobs = new HashMap<>();
     private List<Server> ready = List.of();
+    private long allWarmAt;
     private boolean asking;
     private long now;
     private Consumer<? super Action> out;
@@ -128,19 +129,7 @@
     }
 
     private void place(Job job) {
-        var from = new ArrayList<Server>(ready.size());
-        boolean cold = false;
-        for (var server : ready) {
-            boolean mayTake = !job.tried.contains(server)
-                    && (job.jobClass.kind() < 0 || job.jobClass.kind() == server.info.kind());
-            if (mayTake) {
-                from.add(server);
-                cold |= server.info.startedAt() > 0;
-            }
-        }
-        if (cold) {
-            from.removeIf(server -> !coldAllows(server, job));
-        }
+        var from = mayTake(job);
         if (from.isEmpty()) {
             giveUp(job);
             return;
@@ -154,6 +143,21 @@
         out.accept(new Send(job.request.id(), server.id, 0));
     }
 
+    /** As most times all may, the list itself is handed out then. */
+    private List<Server> mayTake(Job job) {
+        if (job.tried.isEmpty() && job.jobClass.kind() < 0 && now >= allWarmAt) {
+            return ready;
+        }
+        var from = new ArrayList<Server>(ready.size());
+        for (var server : ready) {
+            if (!job.tried.contains(server) && coldAllows(server, job)
+                    && (job.jobClass.kind() < 0 || job.jobClass.kind() == server.info.kind())) {
+                from.add(server);
+            }
+        }
+        return from;
+    }
+
     private double work(Job job) {
         return job.request.costHint() > 0 ? job.request.costHint() : USUAL_WORK;
     }
@@ -224,6 +228,8 @@
             servers.computeIfAbsent(info.id(), Server::new).info = info;
         }
         ready = servers.values().stream().filter(server -> server.info.state() == WorkerState.READY).toList();
+        allWarmAt = settings.rules().coldFor()
+                + ready.stream().mapToLong(server -> server.info.startedAt()).max().orElse(0);
     }
 
     private static WorkerInfo gone(WorkerInfo info) {
