--- a/lab/src/main/java/ryemast/lab/books/Tries.java
+++ b/lab/src/main/java/ryemast/lab/books/Tries.java
@@ -23,6 +23,11 @@
         return sent.get(txn);
     }
 
+    /** For runs so long that there is no room for all names: a box that hears it again does not know it. */
+    public void forget(String txn) {
+        sent.remove(txn);
+    }
+
     /** All that were ever sent, or were to be; it grows as long as clients send. */
     public Collection<Try> all() {
         return Collections.unmodifiableCollection(sent.values());
