Reckon the memory of a simulated run before it begins

Runs beside one another must fit: a run's memory is reckoned from its jobs, boxes and dispatchers; too large a run is refused with the figure.

--- a/lab/src/main/java/ryemast/lab/cli/SimulateCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/SimulateCommand.java
@@ -19,6 +19,7 @@
 import picocli.CommandLine.Parameters;
 import ryemast.config.Tuning;
 import ryemast.lab.model.Policy;
+import ryemast.lab.model.Room;
 import ryemast.lab.model.Runs;
 import ryemast.lab.model.Simulated;
 import ryemast.lab.model.policy.Policies;
@@ -38,6 +39,8 @@
 
     private static final double MICROS_PER_S = 1e6;
     private static final double NANOS_PER_S = 1e9;
+    /** Held, as a logger that nobody holds forgets its level. */
+    private static final Logger QUIET = Logger.getLogger("ryemast");
     private static final long KEEP_EVERY = Duration.ofSeconds(5).toNanos();
 
     @Parameters(paramLabel = "SCENARIO", description = "A scenario's name, as in lab/scenarios, or a file.")
@@ -65,7 +68,8 @@
     @Option(names = "--resume", description = "Takes the runs that the file of --json holds already as done.")
     private boolean resume;
 
-    @Option(names = "--threads", paramLabel = "N", description = "How many runs at once (one for each core).")
+    @Option(names = "--threads", paramLabel = "N", description = "How many runs at once (one for each core, "
+            + "fewer where the memory does not hold so many).")
     private Integer threads;
 
     @Option(names = "--quiet", description = "Shows no progress.")
@@ -97,13 +101,13 @@
         var known = resume ? known(file, chosen) : new TreeMap<Long, JsonObject>();
         quietLogs();
         var stop = Stop.onSignals();
-        var plan = new Runs.Plan(this::draw, chosen, Tuning.DEFAULT, seed, runs);
-        this.file = file;
+        int fitting = fitting(draw(file, seed), Math.min(cores, runs));
+        var plan = new Runs.Plan(one -> draw(file, one), chosen, Tuning.DEFAULT, seed, runs);
         long began = System.nanoTime();
         long[] keptAt = {began};
         Runs.Done done;
         try (var live = new Live(file.name(), quiet)) {
-            done = Runs.run(plan, Math.min(cores, runs), known, stop::asked, (ready, share, rows) -> {
+            done = Runs.run(plan, fitting, known, stop::asked, (ready, share, rows) -> {
                 live.at(share, ready + " of " + runs + " runs");
                 if (System.nanoTime() - keptAt[0] > KEEP_EVERY) {
                     keptAt[0] = System.nanoTime();
@@ -119,13 +123,22 @@
         return done.interrupted() || result.get("rules_broken").getAsLong() > 0 ? Exit.FAILED : Exit.DONE;
     }
 
-    private ScenarioFile file;
-
-    private Scenario draw(long one) {
+    private Scenario draw(ScenarioFile file, long one) {
         var drawn = file.draw(one);
         return seconds == null ? drawn : Shortened.cut(drawn, Math.round(seconds * MICROS_PER_S));
     }
 
+    private static int fitting(Scenario drawn, int wanted) throws BadCall {
+        long heap = Runtime.getRuntime().maxMemory();
+        int fit = Room.fitting(drawn, heap);
+        if (fit == 0) {
+            throw new BadCall(String.format(Locale.ROOT, "one run of %s takes about %,d MB, and there are %,d: "
+                    + "give more with JAVA_TOOL_OPTIONS=-Xmx, or make it shorter with --seconds",
+                    drawn.name(), Room.need(drawn) >> 20, heap >> 20));
+        }
+        return Math.min(wanted, fit);
+    }
+
     private static void keep(JsonFile out, ScenarioFile file, Policy chosen, Map<Long, JsonObject> rows) {
         try {
             out.write(Simulated.json(file.name(), file.title(), chosen.name(), rows.values(), true));
@@ -140,8 +153,6 @@
         QUIET.setLevel(Level.SEVERE);
     }
 
-    private static final Logger QUIET = Logger.getLogger("ryemast");
-
     static Policy policy(String name) throws BadCall {
         var found = Policies.named(name);
         if (found == null) {
@@ -160,7 +171,7 @@
         }
     }
 
-    private Map<Long, JsonObject> known(ScenarioFile from, Policy chosen) throws BadCall {
+    private Map<Long, JsonObject> known(ScenarioFile file, Policy chosen) throws BadCall {
         if (json == null) {
             throw new BadCall("--resume: needs --json, whose file holds what was done");
         }
@@ -168,7 +179,6 @@
         if (!Files.exists(json)) {
             return rows;
         }
-        file = from;
         try {
             var kept = JsonParser.parseString(Files.readString(json)).getAsJsonObject();
             if (!chosen.name().equals(kept.get("policy").getAsString())) {
@@ -179,7 +189,7 @@
                 var row = each.getAsJsonObject();
                 long one = row.get("seed").getAsLong();
                 if (one >= seed && one < seed + runs) {
-                    if (!Simulated.print(draw(one)).equals(row.get("site").getAsString())) {
+                    if (!Simulated.print(draw(file, one)).equals(row.get("site").getAsString())) {
                         throw new BadCall(String.format(Locale.ROOT,
                                 "%s: seed %d was run on another scenario than %s as it is now", json, one,
                                 scenario));
--- a/lab/src/test/java/ryemast/lab/cli/CallsTest.java
+++ b/lab/src/test/java/ryemast/lab/cli/CallsTest.java
@@ -54,6 +54,10 @@
         "failures --rates 0               | --rates: 0 is out of range",
         "emulate no-such-scenario         | there is no scenario \"no-such-scenario\"",
         "emulate small-site --seconds 0   | --seconds: 0 is out of range",
+        "simulate crash --policy power-of-tow | there is no policy \"power-of-tow\" (power-of-two perhaps)",
+        "simulate crash --runs 0          | --runs: is 0; expected 1 to 1000000",
+        "simulate no-such-scenario        | there is no scenario \"no-such-scenario\"",
+        "theory --replications 1          | --replications: 1 is out of range; expected 2 to 100000",
     })
     void aBadCallSaysWhatIsWrongAndWritesNothing(String args, String expected) {
         var json = folder.resolve("none.json");
