--- a/lab/src/main/java/ryemast/lab/cli/LabCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/LabCommand.java
@@ -5,6 +5,7 @@
 /** {@code lab}: emulated sites to try, measure and judge a dispatcher on; its subcommands do the work. */
 @Command(name = "lab", description = "Runs a dispatcher on emulated sites, and measures and judges it.",
         subcommands = {EmulateCommand.class, LoadCommand.class, GrowthCommand.class, FailuresCommand.class,
-            SimulateCommand.class, PoliciesCommand.class, TheoryCommand.class})
+            SimulateCommand.class, PoliciesCommand.class, TheoryCommand.class,
+            ModelGrowthCommand.class})
 public final class LabCommand {
 }
