--- a/lab/src/main/java/ryemast/lab/cli/SimulateWords.java
+++ b/lab/src/main/java/ryemast/lab/cli/SimulateWords.java
@@ -20,18 +20,21 @@
                 result.get("policy").getAsString(), runs, runs < wanted ? " of " + wanted : "");
         if (done.interrupted()) {
             add(text, "  cut short; the %d runs that were done are kept%s", runs,
-                    json == null ? " nowhere: --json FILE keeps them" : " in " + json + ", and --resume goes on");
+                    json == null ? " nowhere: --json FILE keeps them"
+                            : " in " + json + ", and --resume goes on");
         }
         if (runs == 0) {
             return text.toString().stripTrailing();
         }
         var service = result.getAsJsonObject("service");
-        add(text, "  service    %s%s", number(service.get("mean"), 4), service.get("low").isJsonNull() ? ""
-                : "   95% interval " + number(service.get("low"), 4) + " to " + number(service.get("high"), 4));
+        add(text, "  service    %s%s", number(service.get("mean"), 4),
+                service.get("low").isJsonNull() ? "" : "   95% interval " + number(service.get("low"), 4)
+                        + " to " + number(service.get("high"), 4));
         double asked = Math.max(1, result.get("asked").getAsDouble());
         add(text, "  jobs       %d asked; served %.2f%%, refused %.2f%%, failed %.2f%%, left %.2f%%",
                 result.get("asked").getAsLong(), share(result, "served", asked),
-                share(result, "refused", asked), share(result, "failed", asked), share(result, "left", asked));
+                share(result, "refused", asked), share(result, "failed", asked),
+                share(result, "left", asked));
         var latency = result.getAsJsonObject("latency_ms");
         add(text, "  latency    p50 %s ms, p99 %s ms, p99.9 %s ms (means over the runs)",
                 number(latency.get("p50"), 1), number(latency.get("p99"), 1), number(latency.get("p999"), 1));
@@ -55,6 +58,7 @@
     }
 
     private static String number(JsonElement value, int digits) {
-        return value.isJsonNull() ? "-" : String.format(Locale.ROOT, "%." + digits + "f", value.getAsDouble());
+        return value.isJsonNull() ? "-"
+                : String.format(Locale.ROOT, "%." + digits + "f", value.getAsDouble());
     }
 }
--- a/lab/src/main/java/ryemast/lab/model/ModelRegion.java
+++ b/lab/src/main/java/ryemast/lab/model/ModelRegion.java
@@ -21,8 +21,8 @@
 
 /**
  * A dispatcher's pooled connections to boxes, as {@link RegionPool} keeps them, and each connection's other
- * end at its box: which one is taken, how long one rests, when one is given up, and what a break means are the
- * pool's rules by the pool's figures.
+ * end at its box: which one is taken, how long one rests, when one is given up, and what a break means are
+ * the pool's rules by the pool's figures.
  */
 final class ModelRegion implements Region {
 
--- a/lab/src/main/java/ryemast/lab/model/Room.java
+++ b/lab/src/main/java/ryemast/lab/model/Room.java
@@ -5,8 +5,8 @@
 /**
  * The memory that a run takes, reckoned before it begins, so that no more runs go on at once than fit.
  *
- * <p>The books hold every job until the run's result is made; each dispatcher holds each box, with the decision
- * module's books of it. The figures are measured and rounded up (docs/model.md).
+ * <p>The books hold every job until the run's result is made; each dispatcher holds each box, with the
+ * decision module's books of it. The figures are measured and rounded up (docs/model.md).
  */
 public final class Room {
 
@@ -37,7 +37,8 @@
     private static double jobs(Scenario scenario) {
         double rate = scenario.load().ratePerSecond();
         if (rate <= 0) {
-            double work = scenario.classes().stream().mapToDouble(each -> each.share() * each.meanWork()).sum();
+            double work = scenario.classes().stream()
+                    .mapToDouble(each -> each.share() * each.meanWork()).sum();
             rate = scenario.load().connections() * SECOND / Math.max(LEAST_WORK, work);
         }
         return rate * scenario.length() / SECOND;
--- a/lab/src/main/java/ryemast/lab/model/Runs.java
+++ b/lab/src/main/java/ryemast/lab/model/Runs.java
@@ -99,7 +99,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException e) {
-            throw e.getCause() instanceof RuntimeException cause ? cause : new IllegalStateException(e.getCause());
+            throw e.getCause() instanceof RuntimeException cause ? cause
+                    : new IllegalStateException(e.getCause());
         }
     }
 
--- a/lab/src/main/java/ryemast/lab/model/policy/PeakEwma.java
+++ b/lab/src/main/java/ryemast/lab/model/policy/PeakEwma.java
@@ -9,8 +9,8 @@
 
 /**
  * Finagle's peak EWMA: of two drawn by chance, the one with the smaller product of its latency and its own
- * jobs out, this one counted. The latency is a mean that fades by a time constant of 10 s, but leaps at once to
- * any that is higher, so that it is cautious; whoever has jobs out and no latency yet counts as very slow.
+ * jobs out, this one counted. The latency is a mean that fades by a time constant of 10 s, but leaps at once
+ * to any that is higher, so that it is cautious; whoever has jobs out and no latency yet counts as very slow.
  */
 final class PeakEwma implements Choice {
 
--- a/lab/src/main/java/ryemast/lab/model/policy/Policies.java
+++ b/lab/src/main/java/ryemast/lab/model/policy/Policies.java
@@ -23,7 +23,8 @@
                     Choices::powerOfTwo),
             plain("peak-ewma", "of two drawn by chance, the least latency times own jobs out (Finagle)",
                     PeakEwma::new),
-            new Policy("oracle", "where it is done first; sees the true state of all boxes, as no program can",
+            new Policy("oracle",
+                    "where it is done first; sees the true state of all boxes, as no program can",
                     (settings, seed, truth) -> new Reference(settings, seed, new Oracle(truth))));
 
     private Policies() {
--- a/lab/src/main/java/ryemast/lab/scenario/SitePlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/SitePlan.java
@@ -22,7 +22,8 @@
         var discovery = file.apply("discovery");
         return new SitePlan(dispatchers(dispatchers, count), discovery(discovery),
                 discovery.choice("weights", Weights.NOMINAL, Weights.class), telling(file.apply("telling")),
-                rules(file.apply("rules"), kinds), goal(file.apply("goal")), model(file.apply("model")), (int) count.low());
+                rules(file.apply("rules"), kinds), goal(file.apply("goal")), model(file.apply("model")),
+                (int) count.low());
     }
 
     private static Function<Chance, Scenario.Dispatchers> dispatchers(Section in, Range count) {
--- a/lab/src/test/java/ryemast/lab/model/ModelSiteTest.java
+++ b/lab/src/test/java/ryemast/lab/model/ModelSiteTest.java
@@ -23,7 +23,8 @@
     @Test
     void everyMessageOfAJobTakesItsWay() {
         var jobs = new Bench().run().jobs();
-        // client connects 2, request 1; dispatcher connects 2, request 1, handshake 0.5; work 10; done 1; answer 1
+        // Client connects 2, request 1; dispatcher connects 2, request 1, handshake 0.5; work 10; done 1;
+        // answer 1.
         assertEquals(18.5, Bench.latency(jobs.get(0)), 1e-9);
         // on kept connections: request 1, request 1, work 10, done 1, answer 1
         assertEquals(14, Bench.latency(jobs.get(1)), 1e-9);
