--- a/lab/src/test/java/ryemast/lab/model/SpreadTest.java
+++ b/lab/src/test/java/ryemast/lab/model/SpreadTest.java
@@ -18,6 +18,7 @@
 
     @Test
     void oneRunHasNoInterval() {
+        assertTrue(Spread.of().json().get("mean").isJsonNull());
         assertTrue(Spread.of(7).json().get("low").isJsonNull());
         assertTrue(Double.isNaN(Spread.of(7).half()));
     }
