--- a/lab/src/main/java/ryemast/lab/model/Spread.java
+++ b/lab/src/main/java/ryemast/lab/model/Spread.java
@@ -20,7 +20,8 @@
             mean += off / (i + 1);
             squares += off * (values[i] - mean);
         }
-        return new Spread(values.length, values.length == 0 ? Double.NaN : mean, values.length < 2 ? Double.NaN
+        return new Spread(values.length, values.length == 0 ? Double.NaN : mean,
+                values.length < 2 ? Double.NaN
                 : Math.sqrt(squares / (values.length - 1)));
     }
 
