--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -59,10 +59,13 @@
         Signal.handle(new Signal("HUP"), signal -> reload());
         loop.post(() -> table.begin(config.known()));
         var address = terminals.listen(config.listen());
-        Runnable ready = onlyUntilReady ? this::drain : terminals::ready;
+        // Clients may come at once: a restart leaves them without a dispatcher, and that a first job waits
+        // for the classes on its way costs it less than the rehearsal would cost all who find nobody.
+        loop.post(terminals::ready);
+        Runnable rehearsed = onlyUntilReady ? this::drain : () -> { };
         loop.post(() -> {
-            loop.at(loop.now() + LONGEST_REHEARSAL, ready);
-            new Rehearsal(config, loop, transport, address, ready);
+            loop.at(loop.now() + LONGEST_REHEARSAL, rehearsed);
+            new Rehearsal(config, loop, transport, address, rehearsed);
         });
         Note.info(LOG, "{name} listens at {address}", "name", config.name(),
                 "address", Addresses.text(address));
--- a/lab/src/main/java/ryemast/lab/sockets/Launch.java
+++ b/lab/src/main/java/ryemast/lab/sockets/Launch.java
@@ -39,9 +39,7 @@
 
     /** The later one of two flags counts, so that these go behind all others. */
     static String withArgs(String run, List<String> jvmArgs) {
-        int jar = run.indexOf(" -jar ");
-        return jar < 0 || jvmArgs.isEmpty() ? run
-                : run.substring(0, jar) + " " + String.join(" ", jvmArgs) + run.substring(jar);
+        return jvmArgs.isEmpty() ? run : run.replace(" -jar ", " " + String.join(" ", jvmArgs) + " -jar ");
     }
 
     private static Path findRoot() throws IOException {
