Cancel a job's attempt early but once, and take a start as a sign that a full worker has room

Now a job whose first attempt was cancelled may go on for as long as it gives the signs that a running job must give; turn-aways of jobs that were under way together are one sign; and a start or an end at a box means that its queue has a place again.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -235,6 +235,7 @@
     }
 
     private void cancel(Attempt attempt) {
+        attempt.cancelled = true;
         out.accept(new Cancel(attempt.job.request.id(), attempt.job.attempts.indexOf(attempt)));
     }
 
@@ -618,12 +619,17 @@
         }
     }
 
-    /** Guards slots against jobs that hang: where a copy is out, or nothing is to be gained any more. */
+    /**
+     * Guards slots against jobs that hang: where a copy is out, or nothing is to be gained any more. Where one
+     * attempt was cancelled the job itself may be heavier than its hint says: the next one may go on for as
+     * long as it gives the signs that a running job must give, or its work would start anew and never end.
+     */
     private boolean holdsForNothing(Attempt attempt) {
         var job = attempt.job;
         boolean worthless = now > job.aimAt && job.jobClass.lateWorth() == 0;
         return (worthless || job.outstanding == 2) && job.jobClass.effect() != Effect.UNSAFE
-                && attempt.awaited.gone(now) > CERTAINLY;
+                && attempt.awaited.gone(now) > CERTAINLY
+                && (attempt.awaited.isUnheard(now) || job.attempts.stream().noneMatch(each -> each.cancelled));
     }
 
     /** Guards jobs against a silent worker: act when it will miss the aim and another worker would not. */
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -223,6 +223,8 @@
         boolean ended;
         boolean lost;
         boolean mayHaveRun = true;
+        /** We have asked its worker to stop it. */
+        boolean cancelled;
 
         /** Ended in trouble, whoever was to blame. */
         boolean failed;
--- a/decisions/src/main/java/ryemast/health/Awaited.java
+++ b/decisions/src/main/java/ryemast/health/Awaited.java
@@ -52,6 +52,11 @@
         return lost ? 1 : box.gone(this, now);
     }
 
+    /** Whether a sign has stayed out that every running job gives: its start, or a note of its progress. */
+    public boolean isUnheard(long now) {
+        return lost || box.isUnheard(this, now);
+    }
+
     /** Microseconds since something of this job should have come, 0 or less if nothing is missing. */
     public long missing(long now) {
         return (long) (box.late(this, now) * 1e6);
--- a/decisions/src/main/java/ryemast/health/Box.java
+++ b/decisions/src/main/java/ryemast/health/Box.java
@@ -55,6 +55,7 @@
     private long endedStartedAt = Long.MIN_VALUE;
     private long heardAt;
     private int turnedAway;
+    private long turnedAwayAt = Long.MIN_VALUE;
     private long fullUntil;
     Standing standing = Standing.FULL;
     double share = 1;
@@ -105,7 +106,13 @@
         health.silence.started(job, now);
         heard(now);
         startedSentAt = Math.max(startedSentAt, job.sentAt);
+        hasRoom();
+    }
+
+    /** A job has started or ended: whatever it turned away before, there is a place in its queue now. */
+    private void hasRoom() {
         turnedAway = 0;
+        fullUntil = 0;
     }
 
     void ended(Awaited job, Sign sign, boolean failedBefore, long now) {
@@ -121,7 +128,7 @@
             health.silence.served(job, now);
             startedSentAt = Math.max(startedSentAt, job.sentAt);
             endedStartedAt = Math.max(endedStartedAt, job.begunAt());
-            turnedAway = 0;
+            hasRoom();
             believe(well, flaky / 2, down * DOWN_SERVES);
         } else if (sign == Sign.NOTHING) {
             double weight = weight(job, now);
@@ -132,7 +139,9 @@
             believe(well * expected, flaky * (1 + expected) / 2, down * (1 - DOWN_SERVES));
         } else if (sign == Sign.TURNED_AWAY) {
             believe(well, flaky, down * TURNS_AWAY);
-            turnedAway++;
+            // Jobs that were under way when it last turned one away say the same once more, and no more.
+            turnedAway += job.sentAt > turnedAwayAt ? 1 : 0;
+            turnedAwayAt = now;
         }
         boolean trouble = sign.isTrouble() && (sign != Sign.NOTHING || goesOn < UNLIKELY);
         lately[sign.ordinal()] += trouble ? 1 : 0;
@@ -194,6 +203,10 @@
         return started ? job.begunAt() < endedStartedAt : job.sentAt < startedSentAt;
     }
 
+    boolean isUnheard(Awaited job, long now) {
+        return health.silence.isUnheard(job, now);
+    }
+
     double late(Awaited job, long now) {
         return health.silence.late(job, now, heardAt);
     }
@@ -283,7 +296,7 @@
 
     /** It turned a job away: with each in a row, twice the time until it is expected to have room. */
     public void full(long now, double seconds) {
-        double pause = Math.min(1, seconds * Math.scalb(1.0, Math.min(10, turnedAway - 1)));
+        double pause = Math.min(1, seconds * Math.scalb(1.0, Math.max(0, Math.min(10, turnedAway - 1))));
         fullUntil = Math.max(fullUntil, now + (long) (pause * SECOND));
     }
 
--- a/decisions/src/main/java/ryemast/health/Silence.java
+++ b/decisions/src/main/java/ryemast/health/Silence.java
@@ -63,6 +63,13 @@
         return startsTold && job.startedAt == 0;
     }
 
+    /** Whether a sign that every running job gives has stayed out; where none are told, silence says nothing. */
+    boolean isUnheard(Awaited job, long now) {
+        return awaitsStart(job) || progressInterval > 0 && startsTold
+                && health.heardSince(Math.max(job.startedAt, job.progressAt), now) * SECOND
+                > INTERVALS * progressInterval;
+    }
+
     /** Since when its next sign is missing, about. */
     long missingSince(Awaited job) {
         return awaitsStart(job) ? job.dueAt : Math.max(job.progressAt + progressInterval,
@@ -105,9 +112,7 @@
             double seen = Math.exp(-late * SECOND / (meanLate + job.dueAt - job.sentAt));
             return late <= 0 ? 1 : Math.max(neverStarts - NEVER_STARTS, seen);
         }
-        if (progressInterval > 0 && startsTold
-                && health.heardSince(Math.max(job.startedAt, job.progressAt), now) * SECOND
-                > INTERVALS * progressInterval) {
+        if (isUnheard(job, now)) {
             return GOES_ON_UNHEARD;
         }
         return job.progressAt > 0 ? 1 : runs.longer(guess(job), health.heardSince(begunAt(job), now));
