--- a/lab/src/main/java/ryemast/lab/cli/FaultWords.java
+++ b/lab/src/main/java/ryemast/lab/cli/FaultWords.java
@@ -32,6 +32,7 @@
             case KEPT_DROPPED -> boxes + ": connections that rested " + number(fault.size())
                     + " ms are dead without a word" + forTime;
             case FLAPS -> boxes + ": down and up every " + seconds(fault.every()) + forTime;
+            case CUT_OFF -> boxes + ": cut off from dispatcher " + fault.dispatcher() + forTime;
             case DRAIN -> boxes + ": drains, stops, and starts anew, cold";
             case ROLLING_RELEASE -> boxes + ": released one after the other, every " + seconds(fault.every());
             case HEAVY -> share + " of jobs" + ofClass(fault, scenario)
--- a/lab/src/main/java/ryemast/lab/cli/LabCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/LabCommand.java
@@ -6,6 +6,6 @@
 @Command(name = "lab", description = "Runs a dispatcher on emulated sites, and measures and judges it.",
         subcommands = {EmulateCommand.class, LoadCommand.class, GrowthCommand.class, FailuresCommand.class,
             SimulateCommand.class, PoliciesCommand.class, TheoryCommand.class,
-            ModelGrowthCommand.class})
+            ModelGrowthCommand.class, HealthCommand.class})
 public final class LabCommand {
 }
--- a/lab/src/main/java/ryemast/lab/cli/Shortened.java
+++ b/lab/src/main/java/ryemast/lab/cli/Shortened.java
@@ -21,7 +21,7 @@
         return with(whole, length, whole.faults().stream().map(fault -> new Fault(fault.kind(),
                 Math.round(fault.at() * factor), Math.round(fault.lasts() * factor), fault.targets(),
                 fault.jobClass(), fault.share(), fault.size(), fault.sizeTo(),
-                Math.round(fault.every() * factor))).toList());
+                Math.round(fault.every() * factor), fault.dispatcher())).toList());
     }
 
     private static Scenario with(Scenario s, long length, List<Fault> faults) {
--- a/lab/src/main/java/ryemast/lab/model/ModelRegion.java
+++ b/lab/src/main/java/ryemast/lab/model/ModelRegion.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -41,6 +42,7 @@
     /** The same in the order in which they fell idle. */
     private final Set<Connection> resting = new LinkedHashSet<>();
     private final Set<Connection> open = new LinkedHashSet<>();
+    private final Set<Integer> followed = new HashSet<>();
     private final Map<Integer, ModelNet.Party> parties = new HashMap<>();
     private boolean sweeping;
 
@@ -129,10 +131,21 @@
             loop.at(loop.now() + RegionPool.SWEEP, this::sweep);
         }
         open.add(connection);
+        if (followed.add(box.index())) {
+            box.onDoor(door -> follow(box));
+        }
         connection.connect(call);
         return connection;
     }
 
+    /** A path that was cut and is whole again: nobody knows the connections on which something was lost. */
+    private void follow(Machine box) {
+        if (!box.isCutOff(dispatcher)) {
+            open.stream().filter(each -> each.box == box && each.far.lossy).toList()
+                    .forEach(each -> each.far.reset());
+        }
+    }
+
     private long rested(Connection connection) {
         return loop.now() - connection.idleSince;
     }
@@ -260,6 +273,8 @@
         private boolean admitted;
         private boolean busy;
         private boolean over;
+        /** Something on its way has been lost, so that nothing passes any more. */
+        private boolean lossy;
 
         BoxEnd(Connection near, ModelNet.Way back) {
             this.near = near;
@@ -268,11 +283,18 @@
 
         /** Something goes back to the dispatcher. */
         private void tell(Runnable step) {
-            back.send(0, () -> instance.receive(at -> step.run()));
+            if (!lost()) {
+                back.send(0, () -> instance.receive(at -> step.run()));
+            }
+        }
+
+        private boolean lost() {
+            lossy |= near.box.isCutOff(dispatcher);
+            return lossy;
         }
 
         void knocked(Runnable endOfLimit) {
-            switch (near.box.door()) {
+            switch (near.box.door(dispatcher)) {
                 case OPEN -> {
                     tell(() -> {
                         endOfLimit.run();
@@ -295,7 +317,7 @@
         }
 
         void arrived(Call request) {
-            if (over || near.box.door() == Machine.Door.SILENT) {
+            if (over || lost() || near.box.door() == Machine.Door.SILENT) {
                 return;
             }
             if (request.task == null) {
@@ -313,7 +335,7 @@
 
         /** The dispatcher has ended it. */
         void left() {
-            if (!over) {
+            if (!over && !lost()) {
                 over = true;
                 forgotten();
             }
@@ -348,7 +370,12 @@
 
         @Override
         public void reset() {
+            boolean untold = over && lossy;
+            lossy = false;
             close();
+            if (untold) {
+                tell(near::ended);
+            }
         }
 
         @Override
--- a/lab/src/main/java/ryemast/lab/scenario/FaultPlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/FaultPlan.java
@@ -21,16 +21,17 @@
  * @param perMinute  null for a fault on a timetable
  * @param until      NaN: the end of the run
  * @param jobClass   -1: any
+ * @param dispatcher for paths: whose
  */
 record FaultPlan(String key, List<FaultKind> kinds, Range at, Range perMinute, double from, double until,
-        Range lasts, Range every, Range share, Range size, int jobClass, Aim aim) {
+        Range lasts, Range every, Range share, Range size, int jobClass, int dispatcher, Aim aim) {
 
     private static final double A_DAY = 86_400;
     private static final double MINUTE = 60e6;
     /** More faults at random than this would say nothing that fewer don't. */
     private static final int MOST = 10_000;
     private static final List<String> PARTICULAR = List.of("boxes", "share", "of_kind", "in_zone", "all",
-            "dispatchers", "for_s", "every_s", "share_of_jobs", "class", "size");
+            "dispatchers", "dispatcher", "for_s", "every_s", "share_of_jobs", "class", "size");
 
     /** What faults may name. */
     record Site(List<KindPlan> kinds, List<String> zones, List<String> classes, int leastDispatchers,
@@ -118,10 +119,17 @@
             }
             jobClass = named.isEmpty() ? -1 : site.classes().indexOf(named.get(0));
         }
+        var dispatcher = in.count("dispatcher", 0, 0, 255);
+        if (dispatcher.low() != dispatcher.high()) {
+            in.complain("dispatcher", "is a range; expected one number");
+        } else if (dispatcher.high() >= site.leastDispatchers()) {
+            in.complain("dispatcher", "is " + (long) dispatcher.high() + "; expected 0 to "
+                    + (site.leastDispatchers() - 1) + ", as dispatchers are numbered");
+        }
         var aim = Aim.read(in, site.kinds(), site.zones(), site.leastDispatchers());
         return new FaultPlan(key, kinds, at, perMinute, from, until, in.given("for_s") ? lasts : null,
                 in.given("every_s") ? every : null, in.given("share_of_jobs") ? share : null,
-                in.given("size") ? size : null, jobClass, aim);
+                in.given("size") ? size : null, jobClass, (int) dispatcher.low(), aim);
     }
 
     List<Fault> draw(List<BoxSpec> fleet, int dispatchers, long length, Chance chance) {
@@ -149,7 +157,7 @@
             chance) {
         var traits = FaultTraits.of(kind);
         var targets = switch (traits.struck()) {
-            case BOXES -> aim.drawBoxes(fleet, kind == FaultKind.ROLLING_RELEASE, chance, key, number);
+            case BOXES, PATHS -> aim.drawBoxes(fleet, kind == FaultKind.ROLLING_RELEASE, chance, key, number);
             case DISPATCHERS -> aim.drawDispatchers(dispatchers, chance, key, number);
             case JOBS, DISCOVERY -> List.<Integer>of();
         };
@@ -164,7 +172,8 @@
         return new Fault(kind, time, micros(lasts, traits.lasts(), chance, number), targets,
                 traits.byClass() ? jobClass : -1,
                 share == null || !traits.takes("share_of_jobs") ? orNothing(traits.share()) :
-                share.draw(chance, number), low, high, micros(every, traits.every(), chance, number));
+                share.draw(chance, number), low, high, micros(every, traits.every(), chance, number),
+                traits.struck() == FaultTraits.Struck.PATHS ? dispatcher : -1);
     }
 
     private static long micros(Range said, double seconds, Chance chance, long number) {
--- a/lab/src/main/java/ryemast/lab/scenario/FaultTraits.java
+++ b/lab/src/main/java/ryemast/lab/scenario/FaultTraits.java
@@ -17,7 +17,7 @@
  */
 record FaultTraits(Struck struck, double lasts, double every, double share, boolean byClass, Size size) {
 
-    enum Struck { BOXES, DISPATCHERS, JOBS, DISCOVERY }
+    enum Struck { BOXES, PATHS, DISPATCHERS, JOBS, DISCOVERY }
 
     /** A size and what it may lie between. */
     record Size(double low, double high, double least, double most) {
@@ -45,6 +45,7 @@
                 new FaultTraits(Struck.BOXES, 10, NONE, 0.1, true, null);
             case KEPT_DROPPED ->
                 new FaultTraits(Struck.BOXES, 10, NONE, NONE, false, new Size(1_000, 1_000, 0, 3_600_000));
+            case CUT_OFF -> new FaultTraits(Struck.PATHS, 10, NONE, NONE, false, null);
             case FLAPS -> new FaultTraits(Struck.BOXES, 10, 1, NONE, false, null);
             case DRAIN -> plain(Struck.BOXES, 1);
             case ROLLING_RELEASE -> new FaultTraits(Struck.BOXES, 1, 3, NONE, false, null);
@@ -64,7 +65,8 @@
     /** Whether it takes a key of a fault's table; true for those that every kind takes. */
     boolean takes(String key) {
         return switch (key) {
-            case "boxes", "share", "of_kind", "in_zone", "all" -> struck == Struck.BOXES;
+            case "boxes", "share", "of_kind", "in_zone", "all" -> struck == Struck.BOXES || struck == Struck.PATHS;
+            case "dispatcher" -> struck == Struck.PATHS;
             case "dispatchers" -> struck == Struck.DISPATCHERS;
             case "for_s" -> !Double.isNaN(lasts);
             case "every_s" -> !Double.isNaN(every);
--- a/lab/src/main/java/ryemast/lab/scenario/Scenario.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Scenario.java
@@ -194,6 +194,8 @@
         KEPT_DROPPED,
         /** Up and down in turns, {@code every} so often. */
         FLAPS,
+        /** Nothing passes between a dispatcher and boxes, either way; others reach them. */
+        CUT_OFF,
         /** Drains, stops, and starts again cold, once it has been down for a moment. */
         DRAIN,
         /** As DRAIN, for one box after the other, {@code every} so often. */
@@ -220,9 +222,16 @@
      * @param at        since the run's start
      * @param lasts     until it is over; for a moment's faults, how long until what died is back
      * @param targets   numbers of the boxes, or of the dispatchers, that it strikes
-     * @param jobClass  the class it strikes, -1: any
+     * @param jobClass    the class it strikes, -1: any
+     * @param dispatcher  of a CUT_OFF the dispatcher that can't reach the boxes, else -1
      */
     public record Fault(FaultKind kind, long at, long lasts, List<Integer> targets, int jobClass,
-            double share, double size, double sizeTo, long every) {
+            double share, double size, double sizeTo, long every, int dispatcher) {
+
+        /** One that is the same for all dispatchers. */
+        public Fault(FaultKind kind, long at, long lasts, List<Integer> targets, int jobClass, double share,
+                double size, double sizeTo, long every) {
+            this(kind, at, lasts, targets, jobClass, share, size, sizeTo, every, -1);
+        }
     }
 }
--- a/lab/src/main/java/ryemast/lab/scenario/ScenarioFile.java
+++ b/lab/src/main/java/ryemast/lab/scenario/ScenarioFile.java
@@ -126,6 +126,11 @@
 
     /** A path, or the name of one of the scenarios that come with the program. */
     public static ScenarioFile named(String nameOrPath) throws FaultyFileException {
+        return named(nameOrPath, "");
+    }
+
+    /** As {@link #named(String)}; {@code group}: a folder of scenarios that belong together. */
+    public static ScenarioFile named(String nameOrPath, String group) throws FaultyFileException {
         boolean isPath = nameOrPath.endsWith(ENDING) || nameOrPath.contains("/") || nameOrPath.contains("\\");
         if (isPath) {
             try {
@@ -134,20 +139,26 @@
                 throw new FaultyFileException(nameOrPath + ": no file can have such a name");
             }
         }
-        var names = names();
+        var names = names(group);
+        var folder = home().resolve(FOLDER).resolve(group);
         if (names.contains(nameOrPath)) {
-            return read(home().resolve(FOLDER).resolve(nameOrPath + ENDING));
+            return read(folder.resolve(nameOrPath + ENDING));
         }
         var near = Nearest.to(nameOrPath, names);
         throw new FaultyFileException("there is no scenario \"" + nameOrPath + "\""
                 + (near == null ? "" : " (" + near + " perhaps)") + "; expected a file's path or "
-                + (names.isEmpty() ? "a name, but none is in " + home().resolve(FOLDER)
+                + (names.isEmpty() ? "a name, but none is in " + folder
                         : "one of " + String.join(", ", names)));
     }
 
     /** The scenarios that come with the program, in the order of their names. */
     public static List<String> names() {
-        var folder = home().resolve(FOLDER);
+        return names("");
+    }
+
+    /** Those of one group. */
+    public static List<String> names(String group) {
+        var folder = home().resolve(FOLDER).resolve(group);
         if (!Files.isDirectory(folder)) {
             return List.of();
         }
--- a/lab/src/main/java/ryemast/lab/site/Box.java
+++ b/lab/src/main/java/ryemast/lab/site/Box.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import ryemast.lab.books.Books;
 import ryemast.lab.books.Books.BoxState;
 import ryemast.lab.books.Books.Reply;
@@ -75,8 +76,9 @@
         floor = new Floor(spec, telling, time, books, work, this::rested);
         contacts = new Contacts(spec, time);
         flood = new Flood(rules.fallWindow());
-        process = new Reporter(spec.id(), telling, time, mouth, this::rested);
-        agent = new Reporter(spec.id(), telling, time, mouth, () -> { });
+        Mouth heard = (dispatcher, json, answered) -> say(mouth, dispatcher, json, answered);
+        process = new Reporter(spec.id(), telling, time, heard, this::rested);
+        agent = new Reporter(spec.id(), telling, time, heard, () -> { });
     }
 
     /** What this box makes of a job, so that a reader of an answer can tell who made it, and for whom. */
@@ -134,6 +136,20 @@
         return door;
     }
 
+    @Override
+    public boolean isCutOff(int dispatcher) {
+        return ills.cutOff(dispatcher);
+    }
+
+    /** What is said into a path that is cut has no answer, as long as one is waited for. */
+    private void say(Mouth mouth, int dispatcher, String json, IntConsumer answered) {
+        if (isCutOff(dispatcher)) {
+            time.at(time.now() + Patience.CALL_BACK, () -> answered.accept(0));
+        } else {
+            mouth.post(dispatcher, json, answered);
+        }
+    }
+
     @Override
     public void onDoor(Consumer<Door> listener) {
         doorListeners.add(listener);
@@ -396,6 +412,8 @@
         if (fault.kind() == FaultKind.SLOW) {
             work.slow(ills.slow());
             written();
+        } else if (fault.kind() == FaultKind.CUT_OFF) {
+            doorListeners.forEach(listener -> listener.accept(door));
         }
     }
 
--- a/lab/src/main/java/ryemast/lab/site/FaultInjector.java
+++ b/lab/src/main/java/ryemast/lab/site/FaultInjector.java
@@ -74,7 +74,7 @@
             case FLAPS -> flap(fault, beganAt + fault.at() + fault.lasts());
             case DRAIN -> fault.targets().forEach(box -> drain(fault, box));
             case ROLLING_RELEASE -> release(fault);
-            case SLOW, NEVER_STARTS, NEVER_ENDS, RESETS, ERRORS, LOST, TURNED_AWAY, KEPT_DROPPED ->
+            case SLOW, NEVER_STARTS, NEVER_ENDS, RESETS, ERRORS, LOST, TURNED_AWAY, KEPT_DROPPED, CUT_OFF ->
                 spell(fault, box -> plights.get(box).box.suffer(fault),
                         box -> plights.get(box).box.recover(fault));
             case HEAVY, POISONED -> later(fault.lasts(), () -> log(word(fault) + " is over"));
@@ -183,6 +183,9 @@
         if (!names.isEmpty()) {
             text.append(": ").append(names);
         }
+        if (fault.dispatcher() >= 0) {
+            text.append(", from dispatcher ").append(fault.dispatcher());
+        }
         if (fault.jobClass() >= 0) {
             text.append(", class ").append(scenario.classes().get(fault.jobClass()).name());
         }
--- a/lab/src/main/java/ryemast/lab/site/Ills.java
+++ b/lab/src/main/java/ryemast/lab/site/Ills.java
@@ -65,6 +65,16 @@
         return share > 0 && (share >= 1 || draw.nextDouble() < share);
     }
 
+    /** Whether the path to a dispatcher is cut. */
+    boolean cutOff(int dispatcher) {
+        for (var fault : present) {
+            if (fault.kind() == FaultKind.CUT_OFF && fault.dispatcher() == dispatcher) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     double uniform() {
         return draw.nextDouble();
     }
--- a/lab/src/main/java/ryemast/lab/site/Machine.java
+++ b/lab/src/main/java/ryemast/lab/site/Machine.java
@@ -31,7 +31,17 @@
 
     Door door();
 
-    /** Tells of each change of the door, so that a carrier can close and open its ears. */
+    /** As one dispatcher finds it: silent also where nothing passes between the two. */
+    default Door door(int dispatcher) {
+        return isCutOff(dispatcher) ? Door.SILENT : door();
+    }
+
+    /** Whether nothing passes between this box and a dispatcher, though others may reach it. */
+    default boolean isCutOff(int dispatcher) {
+        return false;
+    }
+
+    /** Tells of each change of the door, or of how a dispatcher finds it, so that a carrier can close and open its ears. */
     void onDoor(Consumer<Door> listener);
 
     /** A connection has come up; false: the box holds too many, and it must end at once. */
--- a/lab/src/main/java/ryemast/lab/sockets/BoxConnection.java
+++ b/lab/src/main/java/ryemast/lab/sockets/BoxConnection.java
@@ -105,7 +105,9 @@
 
     private void answered(byte[] bytes) {
         busy = false;
-        session.write(IoBuffer.wrap(bytes));
+        if (!port.isSilent()) {
+            session.write(IoBuffer.wrap(bytes));
+        }
     }
 
     @Override
@@ -115,7 +117,9 @@
     }
 
     private void write(HttpHead head) {
-        session.write(new HttpMessage(head, HttpMessage.EMPTY));
+        if (!port.isSilent()) {
+            session.write(new HttpMessage(head, HttpMessage.EMPTY));
+        }
     }
 
     @Override
--- a/lab/src/main/java/ryemast/lab/sockets/BoxPorts.java
+++ b/lab/src/main/java/ryemast/lab/sockets/BoxPorts.java
@@ -71,8 +71,8 @@
     /** From here on doors are followed; to be called on the shard, once the boxes have begun. */
     void begin() {
         for (var box : boxes) {
-            box.onDoor(door -> follow(box, door));
-            follow(box, box.door());
+            box.onDoor(door -> follow(box));
+            follow(box);
         }
     }
 
@@ -89,8 +89,10 @@
         return bound;
     }
 
-    private void follow(Machine box, Machine.Door door) {
-        ports.forEach(mine -> mine.get(box.index()).door(door));
+    private void follow(Machine box) {
+        for (int dispatcher = 0; dispatcher < ports.size(); dispatcher++) {
+            ports.get(dispatcher).get(box.index()).door(box.door(dispatcher));
+        }
     }
 
     String address(int dispatcher, int box) {
