--- a/lab/src/main/java/ryemast/lab/cli/HealthCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/HealthCommand.java
@@ -20,7 +20,8 @@
 import ryemast.toml.FaultyFileException;
 
 /** {@code lab health}: how a decision module copes with sick boxes, case by case. */
-@Command(name = "health", description = {"Plays the cases of lab/scenarios/health in virtual time, over many seeds,",
+@Command(name = "health", description =
+        {"Plays the cases of lab/scenarios/health in virtual time, over many seeds,",
     "on all cores, and tells for each how long traffic took to leave a sick box and to come back, what was",
     "lost, who was set aside wrongly, and what was believed. Medians, with 95% intervals (bootstrap)."},
         footer = {"", "Examples:", "  lab health --seeds 50 --json out.json",
@@ -31,7 +32,8 @@
     private static final String JAR = "jar:";
     private static final long KEEP_EVERY = Duration.ofSeconds(10).toNanos();
 
-    @Parameters(paramLabel = "CASE", arity = "0..*", description = "A case's name, as in lab/scenarios/health, or "
+    @Parameters(paramLabel = "CASE", arity = "0..*", description =
+            "A case's name, as in lab/scenarios/health, or "
             + "any scenario's file (all cases).")
     private List<String> names = List.of();
 
@@ -43,7 +45,8 @@
             description = "The first seed; the others follow (${DEFAULT-VALUE}).")
     private long from;
 
-    @Option(names = "--policy", paramLabel = "NAME", description = {"What decides, as in lab policies, or jar:FILE: the",
+    @Option(names = "--policy", paramLabel = "NAME", description =
+            {"What decides, as in lab policies, or jar:FILE: the",
         "module of another version, out of its jar (module). May be given more than once."})
     private List<String> policies = new ArrayList<>();
 
@@ -83,7 +86,8 @@
         var out = new JsonFile(json);
         SimulateCommand.quietLogs();
         long heap = Runtime.getRuntime().maxMemory();
-        int fitting = files.stream().mapToInt(file -> Room.fitting(file.draw(from), heap)).min().orElse(cores);
+        int fitting = files.stream().mapToInt(file -> Room.fitting(file.draw(from), heap))
+                .min().orElse(cores);
         var stop = Stop.onSignals();
         var cases = new Cases(new Cases.Plan(files, chosen, from, seeds), stop::asked);
         boolean all;
@@ -101,7 +105,8 @@
         out.write(Told.json(played, !all));
         System.out.println(Told.words(played));
         if (!all) {
-            System.out.println("Cut short; what was done is " + (json == null ? "above." : "in " + json + "."));
+            System.out.println("Cut short; what was done is " + (json == null ? "above." : "in " + json
+                    + "."));
         }
         return all ? Exit.DONE : Exit.FAILED;
     }
--- a/lab/src/main/java/ryemast/lab/health/Cases.java
+++ b/lab/src/main/java/ryemast/lab/health/Cases.java
@@ -19,8 +19,8 @@
 import ryemast.lab.scenario.ScenarioFile;
 
 /**
- * Plays every case with every policy over many seeds, on as many threads as wanted. What a run gives depends on
- * its case, policy and seed alone; runs that were stopped have no row.
+ * Plays every case with every policy over many seeds, on as many threads as wanted. What a run gives depends
+ * on its case, policy and seed alone; runs that were stopped have no row.
  */
 public final class Cases {
 
@@ -51,7 +51,8 @@
         this.plan = plan;
         this.stopped = stopped;
         for (var file : plan.cases()) {
-            plan.policies().forEach(policy -> played.add(new Played(file, policy, new ConcurrentHashMap<>())));
+            plan.policies().forEach(policy -> played.add(new Played(file, policy,
+                    new ConcurrentHashMap<>())));
         }
     }
 
@@ -84,7 +85,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException e) {
-            throw e.getCause() instanceof RuntimeException cause ? cause : new IllegalStateException(e.getCause());
+            throw e.getCause() instanceof RuntimeException cause ? cause
+                    : new IllegalStateException(e.getCause());
         } finally {
             pool.shutdownNow();
         }
--- a/lab/src/main/java/ryemast/lab/health/Figures.java
+++ b/lab/src/main/java/ryemast/lab/health/Figures.java
@@ -26,7 +26,7 @@
  * @param backAfter       from the fault's end, the box's start included, until it had its share again
  * @param lost            jobs that ended unserved after the first fault began, poisoned ones aside
  * @param lostRepeatable  those of them that might have been tried elsewhere
- * @param aside           box-seconds in which boxes that no fault has struck got under a fifth of what is fair
+ * @param aside           box-seconds in which boxes that no fault strikes got under a fifth of what is fair
  * @param sendsPerServed  from the first fault's start on
  */
 record Figures(long leftAfter, long backAfter, long asked, long lost, long lostRepeatable, double aside,
@@ -39,7 +39,8 @@
 
     static Figures of(Scenario scenario, History history, Notes notes) {
         boolean views = scenario.faults().stream().anyMatch(fault -> fault.dispatcher() >= 0);
-        int[] dispatchers = views ? IntStream.range(0, scenario.dispatchers().count()).toArray() : new int[] {-1};
+        int[] dispatchers = views ? IntStream.range(0, scenario.dispatchers().count()).toArray()
+                : new int[] {-1};
         long left = NOBODY;
         long back = NOBODY;
         double aside = 0;
@@ -58,8 +59,8 @@
                 back = Math.max(back, wellFrom == Traffic.NEVER ? Traffic.NEVER
                         : traffic.backAfter(box, former[box], wellFrom, truth.until(), window));
             }
-            var healthy = IntStream.range(0, former.length).filter(box -> !truth.struck().contains(box)).boxed()
-                    .toList();
+            var healthy = IntStream.range(0, former.length).filter(box -> !truth.struck().contains(box))
+                    .boxed().toList();
             for (long at = truth.from(); at + window <= truth.until(); at += window) {
                 if (!truth.stoodStill(at, at + window)) {
                     aside += traffic.asideSeconds(healthy, former, at, at + window, window);
@@ -79,13 +80,15 @@
     }
 
     private static boolean isLost(JobStory story) {
-        return story.outcome() != Outcome.SERVED && story.outcome() != Outcome.LEFT && !story.job().poisoned();
+        return story.outcome() != Outcome.SERVED && story.outcome() != Outcome.LEFT
+                && !story.job().poisoned();
     }
 
     private static Traffic traffic(Scenario scenario, History history, Notes notes, int dispatcher) {
         var asked = new ArrayList<Long>();
         history.jobs().stream().map(job -> job.tries().get(0)).filter(first -> !first.asked().isEmpty())
-                .map(first -> first.asked().get(0)).filter(at -> dispatcher < 0 || at.dispatcher() == dispatcher)
+                .map(first -> first.asked().get(0))
+                .filter(at -> dispatcher < 0 || at.dispatcher() == dispatcher)
                 .forEach(at -> asked.add(at.at()));
         List<List<Long>> sent = new ArrayList<>();
         scenario.boxes().forEach(box -> sent.add(new ArrayList<>()));
@@ -94,8 +97,9 @@
         return new Traffic(asked, sent);
     }
 
-    /** From the first fault's start on: how often what was believed of a box while something was true of it. */
-    private static Map<String, Map<String, Integer>> beliefs(Scenario scenario, History history, Notes notes) {
+    /** How often what was believed of a box while something was true of it, since the first fault. */
+    private static Map<String, Map<String, Integer>> beliefs(Scenario scenario, History history,
+            Notes notes) {
         Map<String, Map<String, Integer>> counts = new TreeMap<>();
         var truths = IntStream.range(0, scenario.dispatchers().count())
                 .mapToObj(dispatcher -> new Truth(scenario, history, dispatcher)).toList();
--- a/lab/src/main/java/ryemast/lab/health/JarPolicy.java
+++ b/lab/src/main/java/ryemast/lab/health/JarPolicy.java
@@ -15,9 +15,9 @@
 import ryemast.lab.model.Policy;
 
 /**
- * The decision module of another version of the program, out of its jar, in a class loader that sees nothing of
- * this program: the real code, in this process, in the model's time. What passes between the two is carried over
- * by {@link Twins}.
+ * The decision module of another version of the program, out of its jar, in a class loader that sees nothing
+ * of this program: the real code, in this process, in the model's time. What passes between the two is
+ * carried over by {@link Twins}.
  */
 public final class JarPolicy {
 
@@ -27,23 +27,31 @@
     /** Throws what is wrong with the jar, in words. */
     public static Policy of(Path jar) {
         if (!Files.isRegularFile(jar)) {
-            throw new IllegalArgumentException(jar + ": there is no such file; expected the jar of a version of "
+            throw new IllegalArgumentException(jar
+                    + ": there is no such file; expected the jar of a version of "
                     + "the program");
         }
         try {
-            // Left open: runs load classes from it as they need them.
-            var theirs = new URLClassLoader(new URL[] {jar.toUri().toURL()}, ClassLoader.getPlatformClassLoader());
-            var twins = new Twins(Dispatcher.class, theirs);
-            var made = theirs.loadClass(Brain.class.getName()).getConstructor(twins.of(Settings.class), long.class);
-            var handle = twins.of(Dispatcher.class).getMethod("handle", long.class,
-                    twins.of(Dispatcher.Event.class), Consumer.class);
-            return new Policy("jar:" + jar, "the decision module in " + jar.getFileName(),
-                    (settings, seed, truth) -> new Module(twins, made, handle, settings, seed));
+            return of(jar.toUri().toURL(), jar);
         } catch (IOException | ReflectiveOperationException | LinkageError | IllegalArgumentException e) {
-            throw new IllegalArgumentException(jar + ": holds no decision module that can be used here: " + e, e);
+            throw new IllegalArgumentException(jar + ": holds no decision module that can be used here: " + e,
+                    e);
         }
     }
 
+    static Policy of(URL code, Path jar) throws ReflectiveOperationException {
+        // Left open: runs load classes from it as they need them.
+        var theirs = new URLClassLoader(new URL[] {code}, ClassLoader.getPlatformClassLoader());
+        var twins = new Twins(Dispatcher.class, theirs);
+        var made = theirs.loadClass(Brain.class.getName()).getConstructor(twins.of(Settings.class),
+                long.class);
+        var handle = twins.of(Dispatcher.class).getMethod("handle", long.class,
+                twins.of(Dispatcher.Event.class),
+                Consumer.class);
+        return new Policy("jar:" + jar, "the decision module in " + jar.getFileName(),
+                (settings, seed, truth) -> new Module(twins, made, handle, settings, seed));
+    }
+
     private static final class Module implements Dispatcher {
         private final Twins twins;
         private final Method handle;
--- a/lab/src/main/java/ryemast/lab/health/Median.java
+++ b/lab/src/main/java/ryemast/lab/health/Median.java
@@ -38,7 +38,8 @@
         }
         Arrays.sort(medians);
         int tail = (int) (TAIL * RESAMPLES);
-        return new Median(values.length, middle(sorted), medians[tail], medians[RESAMPLES - 1 - tail], sorted[0],
+        return new Median(values.length, middle(sorted), medians[tail], medians[RESAMPLES - 1 - tail],
+                sorted[0],
                 sorted[sorted.length - 1], (int) Arrays.stream(values).filter(Double::isInfinite).count());
     }
 
@@ -84,7 +85,8 @@
             return "-";
         }
         var middle = number(median, digits);
-        return low == high ? middle : middle + " (" + number(low, digits) + " to " + number(high, digits) + ")";
+        return low == high ? middle : middle + " (" + number(low, digits) + " to " + number(high, digits)
+                + ")";
     }
 
     private static String number(double value, int digits) {
--- a/lab/src/main/java/ryemast/lab/health/Notes.java
+++ b/lab/src/main/java/ryemast/lab/health/Notes.java
@@ -12,10 +12,12 @@
 import ryemast.lab.scenario.Scenario;
 
 /**
- * What the modules of one run sent and believed, noted between them and the program; owned by the run's thread.
+ * What the modules of one run sent and believed, noted between them and the program; owned by the run's
+ * thread.
  *
- * <p>Sends are noted here and not at the boxes, as what is sent to a box that is gone arrives nowhere. Beliefs
- * are read every {@link #EVERY}, from modules that have any, when something next happens to the module.
+ * <p>Sends are noted here and not at the boxes, as what is sent to a box that is gone arrives nowhere.
+ * Beliefs are read every {@link #EVERY}, from modules that have any, when something next happens to the
+ * module.
  */
 final class Notes {
 
--- a/lab/src/main/java/ryemast/lab/health/Told.java
+++ b/lab/src/main/java/ryemast/lab/health/Told.java
@@ -3,12 +3,10 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import ryemast.lab.health.Cases.Played;
 
 /** What the cases came to, as JSON and for people; made of the rows alone, so the same runs read the same. */
@@ -81,12 +79,14 @@
     /** Medians over the runs with their 95% intervals, and the table of beliefs. */
     public static String words(Collection<Played> played) {
         var text = new StringBuilder();
-        text.append(String.format(Locale.ROOT, ROW, "case", "policy", "left after s", "back after s", "lost jobs",
+        text.append(String.format(Locale.ROOT, ROW, "case", "policy", "left after s", "back after s",
+                "lost jobs",
                 "that may repeat", "set aside, box-s", "sends per served", "service"));
         for (var each : played) {
             var rows = each.rows().values();
             if (!rows.isEmpty()) {
-                text.append(String.format(Locale.ROOT, ROW, each.file().name(), shortened(each.policy().name()),
+                text.append(String.format(Locale.ROOT, ROW, each.file().name(),
+                        shortened(each.policy().name()),
                         Median.of(rows, "left_after_s").words(2), Median.of(rows, "back_after_s").words(2),
                         Median.of(rows, "lost").words(0), Median.of(rows, "lost_repeatable").words(0),
                         Median.of(rows, "aside_box_s").words(1), Median.of(rows, "sends_per_served").words(3),
@@ -95,7 +95,7 @@
         }
         var confusion = confusion(played);
         if (!confusion.isEmpty()) {
-            text.append('\n').append("What was true of a box, and what was believed of it, in % of the time:\n");
+            text.append("\nWhat was true of a box, and what was believed of it, in % of the time:\n");
             confusion.forEach((truth, believed) -> text.append(line(truth, believed)));
         }
         return text.toString().stripTrailing();
@@ -107,16 +107,11 @@
 
     private static String line(String truth, Map<String, Long> believed) {
         long all = all(believed);
-        Map<String, Double> shares = new LinkedHashMap<>();
-        new TreeSet<>(believed.entrySet().stream().map(Map.Entry::getKey).toList()).stream()
-                .sorted((a, b) -> Long.compare(believed.get(b), believed.get(a)))
-                .forEach(word -> shares.put(word, (double) believed.get(word) / all));
         var line = new StringBuilder(String.format(Locale.ROOT, "  %-44s", truth));
-        shares.forEach((word, share) -> {
-            if (share >= WORTH_TELLING) {
-                line.append(String.format(Locale.ROOT, " %s %.1f;", word, 100 * share));
-            }
-        });
+        believed.entrySet().stream().sorted(Map.Entry.<String, Long>comparingByValue().reversed())
+                .filter(each -> each.getValue() >= WORTH_TELLING * all)
+                .forEach(each -> line.append(String.format(Locale.ROOT, " %s %.1f;", each.getKey(),
+                        100.0 * each.getValue() / all)));
         return line.append('\n').toString();
     }
 }
--- a/lab/src/main/java/ryemast/lab/health/Traffic.java
+++ b/lab/src/main/java/ryemast/lab/health/Traffic.java
@@ -96,13 +96,16 @@
         return NEVER;
     }
 
-    /** How long after {@code from} a box has four fifths of its former share again, if before {@code until}. */
+    /**
+     * How long after {@code from} a box has four fifths of its former share again, if before {@code until}.
+     */
     long backAfter(int box, double former, long from, long until, long window) {
         for (long at = from; at + window <= until; at += STEP) {
             if (sent(box, at, at + window) >= BACK * former * asked(at, at + window)) {
                 int first = before(sent[box], at);
                 return first < sent[box].length && sent[box][first] < at + window
-                        ? Math.max(at, Math.min(sent[box][first], at + (long) ((1 - BACK) * window) + STEP)) - from
+                        ? Math.max(at, Math.min(sent[box][first], at + (long) ((1 - BACK) * window)
+                        + STEP)) - from
                         : at - from;
             }
         }
--- a/lab/src/main/java/ryemast/lab/health/Truth.java
+++ b/lab/src/main/java/ryemast/lab/health/Truth.java
@@ -1,5 +1,7 @@
 package ryemast.lab.health;
 
+import java.text.DecimalFormat;
+import java.text.DecimalFormatSymbols;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -12,8 +14,8 @@
 import ryemast.lab.scenario.Scenario.FaultKind;
 
 /**
- * What was wrong with which box and when, as one dispatcher could have it; immutable. A fault that strikes all
- * boxes alike is no box's own, and neither is one of jobs or of dispatchers.
+ * What was wrong with which box and when, as one dispatcher could have it; immutable. A fault that strikes
+ * all boxes alike is no box's own, and neither is one of jobs or of dispatchers.
  */
 final class Truth {
 
@@ -73,7 +75,8 @@
 
     /** When a box's first own fault begins. */
     long struckAt(int box) {
-        return beganAt + own.stream().filter(fault -> fault.targets().contains(box)).mapToLong(Fault::at).min()
+        return beganAt + own.stream().filter(fault -> fault.targets().contains(box)).mapToLong(Fault::at)
+                .min()
                 .orElseThrow();
     }
 
@@ -115,10 +118,14 @@
         return startedAt != Traffic.NEVER && at < startedAt + scenario.boxes().get(box).coldFor();
     }
 
-    /** When dispatchers stood still: what they can't have seen is no belief, and what they don't send no choice. */
+    /**
+     * When dispatchers stood still: what they can't have seen is no belief, and what they don't send no
+     * choice.
+     */
     boolean stoodStill(long from, long until) {
         return scenario.faults().stream().filter(fault -> fault.kind() == FaultKind.DISPATCHER_PAUSE)
-                .anyMatch(fault -> beganAt + fault.at() < until && beganAt + fault.at() + fault.lasts() > from);
+                .anyMatch(fault -> beganAt + fault.at() < until
+                        && beganAt + fault.at() + fault.lasts() > from);
     }
 
     /** What is true of a box at a time, in few words. */
@@ -137,9 +144,10 @@
         var shared = new TreeSet<String>();
         scenario.faults().stream().filter(fault -> !own.contains(fault) && fault.dispatcher() < 0
                 && isOn(fault, at)).forEach(fault -> shared.add(word(fault)));
-        return shared.isEmpty() ? struck().isEmpty() ? WELL : struck().contains(box)
-                ? at < struckAt(box) ? WELL : "well, after a fault" : WELL
-                : "well, while " + String.join(" and ", shared);
+        if (!shared.isEmpty()) {
+            return "well, while " + String.join(" and ", shared);
+        }
+        return struck().contains(box) && at >= struckAt(box) ? "well, after a fault" : WELL;
     }
 
     private boolean isOn(Fault fault, long at) {
@@ -152,6 +160,7 @@
             return word + String.format(Locale.ROOT, " x%.0f", fault.size());
         }
         return fault.share() > 0 && fault.share() < 1 && fault.kind() != FaultKind.HEAVY
-                ? word + String.format(Locale.ROOT, " %.3g%%", 100 * fault.share()) : word;
+                ? word + " " + new DecimalFormat("0.##%", DecimalFormatSymbols.getInstance(Locale.ROOT))
+                .format(fault.share()) : word;
     }
 }
--- a/lab/src/main/java/ryemast/lab/health/Twins.java
+++ b/lab/src/main/java/ryemast/lab/health/Twins.java
@@ -9,10 +9,10 @@
 import java.util.Map;
 
 /**
- * Carries values between two versions of one interface's nested types, which different class loaders hold under
- * the same names: records component by component, constants by name, lists element by element; all else passes
- * as it is. Both versions must have the same records with the same components, which is checked at the start.
- * Immutable, for any thread.
+ * Carries values between two versions of one interface's nested types, which different class loaders hold
+ * under the same names: records component by component, constants by name, lists element by element; all else
+ * passes as it is. Both versions must have the same records with the same components, which is checked at the
+ * start. Immutable, for any thread.
  */
 final class Twins {
 
--- a/lab/src/main/java/ryemast/lab/scenario/FaultTraits.java
+++ b/lab/src/main/java/ryemast/lab/scenario/FaultTraits.java
@@ -65,7 +65,8 @@
     /** Whether it takes a key of a fault's table; true for those that every kind takes. */
     boolean takes(String key) {
         return switch (key) {
-            case "boxes", "share", "of_kind", "in_zone", "all" -> struck == Struck.BOXES || struck == Struck.PATHS;
+            case "boxes", "share", "of_kind", "in_zone", "all" -> struck == Struck.BOXES
+                    || struck == Struck.PATHS;
             case "dispatcher" -> struck == Struck.PATHS;
             case "dispatchers" -> struck == Struck.DISPATCHERS;
             case "for_s" -> !Double.isNaN(lasts);
--- a/lab/src/main/java/ryemast/lab/site/Machine.java
+++ b/lab/src/main/java/ryemast/lab/site/Machine.java
@@ -41,7 +41,10 @@
         return false;
     }
 
-    /** Tells of each change of the door, or of how a dispatcher finds it, so that a carrier can close and open its ears. */
+    /**
+     * Tells of each change of the door, or of how a dispatcher finds it, so that a carrier can close and open
+     * its ears.
+     */
     void onDoor(Consumer<Door> listener);
 
     /** A connection has come up; false: the box holds too many, and it must end at once. */
--- a/lab/src/test/java/ryemast/lab/model/ModelSiteTest.java
+++ b/lab/src/test/java/ryemast/lab/model/ModelSiteTest.java
@@ -118,4 +118,26 @@
         var done = Runs.run(plan(4), threads, known, () -> false, (ready, share, rows) -> { });
         return Simulated.json("mixed-fleet", "", "module", done.rows().values(), false).toString();
     }
+
+    @Test
+    void aPathThatIsCutIsSilentForItsOwnDispatcherAlone() {
+        for (int cut : new int[] {0, 1}) {
+            var bench = new Bench();
+            bench.with(b -> b.faults(List.of(new Scenario.Fault(FaultKind.CUT_OFF, 0, 5_000 * Bench.MS,
+                    List.of(0), -1,
+                    0, 0, 0, 0, cut)))).run();
+            assertEquals(cut == 0 ? "CONNECT_FAILED" : "SUCCESS", bench.log.get(1).split(" ")[1]);
+        }
+    }
+
+    @Test
+    void whatIsSaidIntoACutPathIsLostAndItsConnectionResetAfterwards() {
+        // The job leaves at 3 ms and is at the box at 6; cut from 6.2 to 56.2 ms, the 202 at 6.5 is lost, and
+        // the connection that missed it is reset, which takes 1 ms to be heard of.
+        var bench = new Bench();
+        bench.with(b -> b.faults(List.of(new Scenario.Fault(FaultKind.CUT_OFF, 6_200, 50 * Bench.MS,
+                List.of(0), -1, 0, 0,
+                0, 0, 0)))).run();
+        assertEquals(List.of("0.0 send", "54.2 RESET"), bench.log.subList(0, 2));
+    }
 }
--- a/lab/src/test/java/ryemast/lab/scenario/ScenarioChecksTest.java
+++ b/lab/src/test/java/ryemast/lab/scenario/ScenarioChecksTest.java
@@ -15,7 +15,7 @@
 class ScenarioChecksTest {
 
     private static final String KINDS = "crash, vanish, slow, never-starts, never-ends, resets, errors, "
-            + "lost, turned-away, kept-dropped, flaps, drain, rolling-release, heavy, poisoned, "
+            + "lost, turned-away, kept-dropped, flaps, cut-off, drain, rolling-release, heavy, poisoned, "
             + "discovery-stalls, discovery-down, dispatcher-kill, dispatcher-restart, dispatcher-pause";
 
     @TempDir
