Record traffic and outcomes where the operator wants it

Settings can't be compared on a site's own traffic unless that is known. The exchange tells an observer, null mostly, what passes; a recorder fills a ring that a thread of its own empties onto the disk as CRC-framed CBOR.

--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -31,6 +31,8 @@
     private final Transport transport;
     private final TerminalServer terminals;
     private final TableWatch table;
+    /** Ends what looks on, if anything does. */
+    private AutoCloseable recording = () -> { };
     private long drainingSince;
 
     Service(Config config) {
@@ -62,6 +64,9 @@
         Signal.handle(new Signal("TERM"), signal -> loop.post(this::drain));
         Signal.handle(new Signal("INT"), signal -> loop.post(this::drain));
         Signal.handle(new Signal("HUP"), signal -> reload());
+        if (config.tuning().recording() != null && !onlyUntilReady) {
+            recording = Recording.begin(config, exchange, loop);
+        }
         loop.post(() -> table.begin(config.known()));
         var address = terminals.listen(config.listen());
         Runnable ready = onlyUntilReady ? this::drain : terminals::ready;
@@ -73,6 +78,7 @@
                 "address", Addresses.text(address));
         loop.run();
         terminals.stop();
+        endRecording();
         Logs.end();
         System.exit(0);
     }
@@ -91,6 +97,14 @@
         }
     }
 
+    private void endRecording() {
+        try {
+            recording.close();
+        } catch (Exception e) {
+            LOG.warning("the recording could not be ended: " + e);
+        }
+    }
+
     private void drain() {
         if (drainingSince == 0) {
             Note.info(LOG, "ending: {open} transactions to answer", "open", exchange.open());
--- a/app/src/main/java/ryemast/config/Tuning.java
+++ b/app/src/main/java/ryemast/config/Tuning.java
@@ -10,14 +10,16 @@
 /**
  * What an operator may set, as the parts of the program use it. Times are in microseconds. It knows nothing
  * of the file that it may come from, so that a start without one loads nothing for it.
+ *
+ * @param recording  null: nothing is recorded
  */
 public record Tuning(Unsaid unsaid, Limits limits, TerminalTuning terminals, RegionTuning regions,
-        TableTuning table, Ending ending, LogTuning log) {
+        TableTuning table, Ending ending, LogTuning log, Recording recording) {
 
     public static final Tuning DEFAULT = new Tuning(
             new Unsaid("dispatcher", null, null, 1024, Integer.MAX_VALUE, 250_000, 5_000_000, 20_000),
             new Limits(48, 3, 8, Exchange.NAMES), TerminalTuning.DEFAULT, RegionTuning.DEFAULT,
-            TableTuning.DEFAULT, new Ending(450_000, 100_000, 700_000), LogTuning.DEFAULT);
+            TableTuning.DEFAULT, new Ending(450_000, 100_000, 700_000), LogTuning.DEFAULT, null);
 
     /** What holds where the platform says nothing; an address may be null, which then is a fault. */
     public record Unsaid(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
@@ -45,4 +47,12 @@
      */
     public record Ending(long clientsCome, long rest, long least) {
     }
+
+    /**
+     * What is recorded of traffic and outcomes.
+     *
+     * @param places  how many things may wait for the disk
+     */
+    public record Recording(String folder, long partBytes, long totalBytes, int places) {
+    }
 }
--- a/app/src/main/java/ryemast/operator/Key.java
+++ b/app/src/main/java/ryemast/operator/Key.java
@@ -79,10 +79,20 @@
     REPEAT_LIMIT("log.repeat_limit", 100, 0, 1_000_000, "more would be no bound",
             "Lines of one kind written in a window, the others are counted; 0 for all of them."),
     REPEAT_WINDOW_S("log.repeat_window_s", 10, 1, 3600, "what was held back must be told while it matters",
-            "How long a window is.");
+            "How long a window is."),
+
+    RECORDING_FOLDER("recording.folder", "", Kind.FOLDER,
+            "Where traffic and outcomes are recorded, without bodies and names; nowhere where it is absent."),
+    PART_MB("recording.part_mb", 16, 1, 4096, "the next one begins then, and the oldest goes as a whole",
+            "How large a file of a recording grows."),
+    TOTAL_MB("recording.total_mb", 256, 2, 1_048_576, "the oldest files are taken away for the newest",
+            "How much this dispatcher's recordings take together, those of earlier starts among them."),
+    WAITING_RECORDS("recording.waiting_records", 8192, 256, 1 << 20,
+            "fewer don't last from one writing to the next, a tenth of a second, and each takes 100 bytes",
+            "So many things may wait for the disk; more are counted, not recorded.");
 
     /** What a key's value is. */
-    enum Kind { NAME, ADDRESS, WORD, WHOLE }
+    enum Kind { NAME, ADDRESS, FOLDER, WORD, WHOLE }
 
     private final String path;
     private final Object otherwise;
@@ -158,7 +168,7 @@
     /** The unit, which the name ends with; empty for a count, a word or a text. */
     public String unit() {
         var end = path.substring(path.lastIndexOf('_') + 1);
-        return kind == Kind.WHOLE && List.of("ms", "s", "bytes").contains(end) ? end : "";
+        return kind == Kind.WHOLE && List.of("ms", "s", "bytes", "mb").contains(end) ? end : "";
     }
 
     /** What a value must be, with the reason. */
@@ -166,6 +176,7 @@
         return switch (kind) {
             case NAME -> "a text of 1 to " + OperatorFile.LONGEST_NAME + " visible characters";
             case ADDRESS -> "an address IP:PORT, such as \"127.0.0.1:3000\"";
+            case FOLDER -> "the path of a folder, such as \"/var/lib/ryemast\"";
             case WORD -> "\"" + String.join("\" or \"", words) + "\"";
             case WHOLE -> "a whole number from " + least + " to " + most
                     + (unit().isEmpty() ? "" : " (" + unit() + ")") + ": " + why;
--- a/app/src/main/java/ryemast/operator/OperatorFile.java
+++ b/app/src/main/java/ryemast/operator/OperatorFile.java
@@ -1,6 +1,7 @@
 package ryemast.operator;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -34,6 +35,7 @@
     static final int LONGEST_NAME = 100;
     private static final long MICROS_PER_MS = 1000;
     private static final long MS_PER_S = 1000;
+    private static final long BYTES_PER_MB = 1_000_000;
 
     /**
      * @param value  a {@link Long} in the key's unit, or a {@link String}
@@ -99,7 +101,13 @@
                 new Tuning.Ending(micros(Key.CLIENTS_COME_MS), micros(Key.REST_MS), micros(Key.LEAST_MS)),
                 new LogTuning(text(Key.FORMAT).equals("json"),
                         Level.parse(text(Key.LEVEL).toUpperCase(Locale.ROOT)), whole(Key.REPEAT_LIMIT),
-                        micros(Key.REPEAT_WINDOW_S) / MICROS_PER_MS));
+                        micros(Key.REPEAT_WINDOW_S) / MICROS_PER_MS), recording());
+    }
+
+    private Tuning.Recording recording() {
+        return text(Key.RECORDING_FOLDER).isEmpty() ? null : new Tuning.Recording(text(Key.RECORDING_FOLDER),
+                number(Key.PART_MB) * BYTES_PER_MB, number(Key.TOTAL_MB) * BYTES_PER_MB,
+                whole(Key.WAITING_RECORDS));
     }
 
     private String text(Key key) {
@@ -165,12 +173,30 @@
                 return section.oneOf(name, (String) key.otherwise(), key.words());
             }
             var text = section.text(name, (String) key.otherwise(), key.expected());
-            if (section.has(name) && !(key.kind() == Key.Kind.NAME ? isName(text) : isAddress(text))) {
+            if (section.has(name) && !isGood(key, text)) {
                 section.wrong(name, key.expected());
             }
             return text;
         }
 
+        private static boolean isGood(Key key, String text) {
+            return switch (key.kind()) {
+                case ADDRESS -> isAddress(text);
+                case FOLDER -> isFolder(text);
+                default -> isName(text);
+            };
+        }
+
+        /** Whether it is there is seen when it is needed; until then it can be made. */
+        private static boolean isFolder(String text) {
+            try {
+                return !text.isBlank() && text.codePoints().noneMatch(Character::isISOControl)
+                        && !Files.isRegularFile(Path.of(text));
+            } catch (InvalidPathException e) {
+                return false;
+            }
+        }
+
         private static boolean isName(String text) {
             return !text.isBlank() && text.length() <= LONGEST_NAME
                     && text.codePoints().noneMatch(Character::isISOControl);
--- a/app/src/main/java/ryemast/operator/Rule.java
+++ b/app/src/main/java/ryemast/operator/Rule.java
@@ -24,7 +24,9 @@
     CLIENTS_WITHIN_LEAST(Key.CLIENTS_COME_MS, Key.LEAST_MS, (come, least) -> number(come) <= number(least),
             "end.clients_come_ms within end.least_ms, as the program may be gone after that"),
     REST_WITHIN_LEAST(Key.REST_MS, Key.LEAST_MS, (rest, least) -> number(rest) <= number(least),
-            "end.rest_ms within end.least_ms, as the program may be gone after that");
+            "end.rest_ms within end.least_ms, as the program may be gone after that"),
+    PARTS_WITHIN_TOTAL(Key.PART_MB, Key.TOTAL_MB, (part, total) -> 2 * number(part) <= number(total),
+            "recording.part_mb at most half of recording.total_mb, as the oldest file goes for the newest");
 
     final Key one;
     final Key other;
--- /dev/null
+++ b/app/src/main/java/ryemast/record/Encoder.java
@@ -0,0 +1,223 @@
+package ryemast.record;
+
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import pipitladder.Dispatcher.ListKind;
+import pipitladder.Dispatcher.WorkerInfo;
+import pipitladder.Dispatcher.WorkerState;
+import ryemast.record.Ring.Place;
+
+/**
+ * Turns what happened into the content of frames. Names leave it only as the first eight bytes of their
+ * HMAC-SHA-256 (RFC 2104) under a key made here and kept nowhere else, so that nobody can test a name against a
+ * recording, not even with the recording's own program.
+ */
+final class Encoder {
+
+    private static final String MAC = "HmacSHA256";
+    private static final int KEY_BYTES = 32;
+
+    private final CBORFactory factory = new CBORFactory();
+    private final Mac mac;
+    private final Map<String, Integer> numbers = new HashMap<>();
+    /** The service table as last told, for the beginning of the next file. */
+    private final Map<String, WorkerInfo> listed = new LinkedHashMap<>();
+    private final Content content = new Content();
+    private final CBORGenerator out;
+    private long last;
+
+    /** Gives out its bytes without a copy. */
+    private static final class Content extends ByteArrayOutputStream {
+        byte[] bytes() {
+            return buf;
+        }
+    }
+
+    Encoder() {
+        try {
+            var key = new byte[KEY_BYTES];
+            new SecureRandom().nextBytes(key);
+            mac = Mac.getInstance(MAC);
+            mac.init(new SecretKeySpec(key, MAC));
+            out = factory.createGenerator(content);
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(MAC + " is part of every Java", e);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    byte[] bytes() {
+        return content.bytes();
+    }
+
+    /** How much of {@link #bytes} is the frame's content; 0: there is none. */
+    int length() throws IOException {
+        out.flush();
+        return content.size();
+    }
+
+    void clear() throws IOException {
+        out.flush();
+        content.reset();
+    }
+
+    private void open(Kind kind, long at) throws IOException {
+        if (length() == 0) {
+            out.writeNumber(at);
+            last = at;
+        }
+        out.writeStartArray();
+        out.writeNumber(kind.ordinal());
+        out.writeNumber(at - last);
+        last = at;
+    }
+
+    private void close() throws IOException {
+        out.writeEndArray();
+    }
+
+    /** Begins a file: who recorded it, and the service table as it was told up to here. */
+    void header(Entry.Header header) throws IOException {
+        open(Kind.HEADER, header.at());
+        out.writeNumber(Layout.FORMAT);
+        out.writeString(header.recording());
+        out.writeNumber(header.part());
+        out.writeString(header.dispatcher());
+        out.writeString(header.program());
+        out.writeString(header.settings());
+        close();
+        if (!listed.isEmpty()) {
+            list(header.at(), ListKind.CACHED, List.copyOf(listed.values()));
+        }
+    }
+
+    void dropped(long at, long count) throws IOException {
+        open(Kind.DROPPED, at);
+        out.writeNumber(count);
+        close();
+    }
+
+    void stopped(long at) throws IOException {
+        open(Kind.STOPPED, at);
+        close();
+    }
+
+    void write(Place place) throws IOException {
+        if (place.type == Kind.LISTED) {
+            @SuppressWarnings("unchecked")
+            var workers = (List<WorkerInfo>) place.what;
+            var kind = ListKind.values()[place.one];
+            follow(kind, workers);
+            list(place.at, kind, workers);
+            return;
+        }
+        open(place.type, place.at);
+        switch (place.type) {
+            case TAKEN -> {
+                out.writeNumber(place.job);
+                job(place);
+            }
+            case TURNED_AWAY -> job(place);
+            case SENT -> {
+                attempt(place);
+                out.writeNumber(number((String) place.what));
+                out.writeNumber(place.first);
+            }
+            case ACCEPTED, STARTED -> attempt(place);
+            case PROGRESSED -> {
+                attempt(place);
+                out.writeNumber((float) place.slots);
+            }
+            case ENDED -> {
+                attempt(place);
+                out.writeNumber(place.one);
+            }
+            case ANSWERED -> {
+                out.writeNumber(place.job);
+                out.writeNumber(place.one);
+                out.writeNumber(place.first);
+            }
+            default -> throw new IllegalStateException(place.type.name());
+        }
+        close();
+    }
+
+    private void attempt(Place place) throws IOException {
+        out.writeNumber(place.job);
+        out.writeNumber(place.attempt);
+    }
+
+    private void job(Place place) throws IOException {
+        out.writeNumber(hash((String) place.what));
+        out.writeNumber(place.one);
+        out.writeNumber(place.other);
+        figure(place.slots);
+        figure(place.memory);
+        out.writeNumber(place.first);
+        out.writeNumber(place.second);
+    }
+
+    /** Whole figures, as most are, take one byte in place of nine. */
+    private void figure(double value) throws IOException {
+        if (value == Math.rint(value) && Math.abs(value) < Integer.MAX_VALUE) {
+            out.writeNumber((int) value);
+        } else {
+            out.writeNumber(value);
+        }
+    }
+
+    private void follow(ListKind kind, List<WorkerInfo> workers) {
+        if (kind == ListKind.COMPLETE || kind == ListKind.CACHED) {
+            listed.clear();
+        }
+        for (var worker : workers) {
+            if (worker.state() == WorkerState.GONE) {
+                listed.remove(worker.id());
+            } else {
+                listed.put(worker.id(), worker);
+            }
+        }
+    }
+
+    private void list(long at, ListKind kind, List<WorkerInfo> workers) throws IOException {
+        open(Kind.LISTED, at);
+        out.writeNumber(kind.ordinal());
+        out.writeStartArray();
+        for (var worker : workers) {
+            out.writeStartArray();
+            out.writeNumber(number(worker.id()));
+            out.writeNumber(hash(worker.id()));
+            out.writeNumber(worker.state().ordinal());
+            out.writeNumber(worker.kind());
+            out.writeNumber(worker.zone());
+            out.writeNumber(worker.cell());
+            figure(worker.weight());
+            out.writeNumber(worker.startedAt());
+            out.writeEndArray();
+        }
+        out.writeEndArray();
+        close();
+    }
+
+    private int number(String worker) {
+        return numbers.computeIfAbsent(worker, name -> numbers.size());
+    }
+
+    private long hash(String name) {
+        return ByteBuffer.wrap(mac.doFinal(name.getBytes(StandardCharsets.UTF_8))).getLong();
+    }
+}
--- a/app/src/test/java/ryemast/ArrowsTest.java
+++ b/app/src/test/java/ryemast/ArrowsTest.java
@@ -20,7 +20,7 @@
                 .layer("core").definedBy("ryemast.core..")
                 .layer("net").definedBy("ryemast.net..")
                 .layer("app").definedBy("ryemast", "ryemast.config..", "ryemast.toml..",
-                        "ryemast.log..", "ryemast.operator..", "ryemast.cli..")
+                        "ryemast.log..", "ryemast.operator..", "ryemast.record..", "ryemast.cli..")
                 .whereLayer("app").mayNotBeAccessedByAnyLayer()
                 .whereLayer("net").mayOnlyBeAccessedByLayers("app")
                 .whereLayer("core").mayOnlyBeAccessedByLayers("net", "app")
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -49,6 +49,8 @@
     private final int names;
     private Region region;
     private ServiceTable serviceTable;
+    /** Null, as mostly: nobody looks on. */
+    private Observer observer;
     private final Map<String, Transaction> byTxn = new HashMap<>();
     private final Map<Long, Transaction> byNumber = new HashMap<>();
     /** Names of the transactions taken last, the oldest first. */
@@ -84,6 +86,11 @@
         serviceTable = table;
     }
 
+    /** Lets somebody look on from now on; null: nobody. */
+    public void observe(Observer by) {
+        observer = by;
+    }
+
     /** How many transactions still wait for their answer. */
     public int open() {
         return open;
@@ -108,6 +115,9 @@
      */
     public Transaction submit(Submission submission, Terminal terminal) {
         if (open >= maxOpen) {
+            if (observer != null) {
+                observer.turnedAway(submission, loop.now());
+            }
             terminal.refused(0);
             return null;
         }
@@ -119,6 +129,9 @@
             lastNames.remove(lastNames.iterator().next());
         }
         byNumber.put(transaction.number, transaction);
+        if (observer != null) {
+            observer.taken(transaction.number, submission, loop.now());
+        }
         // A turn later, as in this one the module may hear of the deadline for the first time, after a stall.
         transaction.backstop = loop.at(submission.deadline() + grace,
                 () -> loop.post(() -> overdue(transaction)));
@@ -131,6 +144,7 @@
     /** The client has closed its connection. */
     public void left(Transaction transaction) {
         if (!transaction.answered) {
+            told(transaction, Observer.Answer.LEFT, 0);
             finish(transaction);
             gathered.add(new ClientGone(transaction.number));
         }
@@ -138,6 +152,9 @@
 
     /** The worker has taken the job. */
     public void accepted(RoutedTask task) {
+        if (observer != null && !task.accepted()) {
+            observer.accepted(task.transaction.number, task.number, loop.now());
+        }
         task.accept();
     }
 
@@ -160,6 +177,9 @@
             case STARTED -> started(task);
             case RUNNING -> {
                 started(task);
+                if (observer != null) {
+                    observer.progressed(task.transaction.number, task.number, call.share(), loop.now());
+                }
                 gathered.add(new AttemptProgress(task.transaction.number, task.number, task.worker,
                         call.share()));
             }
@@ -203,6 +223,9 @@
     private void started(RoutedTask task) {
         if (!task.toldOfStart) {
             task.toldOfStart = true;
+            if (observer != null) {
+                observer.started(task.transaction.number, task.number, loop.now());
+            }
             gathered.add(new AttemptStarted(task.transaction.number, task.number, task.worker));
         }
     }
@@ -210,6 +233,9 @@
     /** What the service table says; the module follows it before its next round. */
     public void listed(ListKind kind, List<WorkerInfo> workers) {
         workers.forEach(worker -> listedWorkers.add(worker.id()));
+        if (observer != null) {
+            observer.listed(kind, workers, loop.now());
+        }
         gathered.add(new WorkerList(kind, workers));
     }
 
@@ -220,8 +246,11 @@
         task.end(outcome);
         task.timeOut.run();
         var transaction = task.transaction;
+        if (observer != null) {
+            observer.ended(transaction.number, task.number, outcome, loop.now());
+        }
         if (outcome == Outcome.SUCCESS && !transaction.answered) {
-            answer(transaction, terminal -> terminal.served(result));
+            answer(transaction, Observer.Answer.SERVED, 0, terminal -> terminal.served(result));
         }
         gathered.add(new AttemptEnded(transaction.number, task.number, task.worker, outcome,
                 transaction.answered, null));
@@ -235,11 +264,19 @@
         forgetIfOver(transaction);
     }
 
-    private void answer(Transaction transaction, Consumer<Terminal> answer) {
+    private void answer(Transaction transaction, Observer.Answer what, long retryAfter,
+            Consumer<Terminal> answer) {
+        told(transaction, what, retryAfter);
         finish(transaction);
         Loop.guarded("an answer", () -> answer.accept(transaction.terminal));
     }
 
+    private void told(Transaction transaction, Observer.Answer what, long retryAfter) {
+        if (observer != null) {
+            observer.answered(transaction.number, what, retryAfter, loop.now());
+        }
+    }
+
     private void forgetIfOver(Transaction transaction) {
         if (transaction.over()) {
             byTxn.remove(transaction.submission.txn(), transaction);
@@ -257,7 +294,7 @@
     }
 
     private void failForModule(Transaction transaction) {
-        answer(transaction, Terminal::failed);
+        answer(transaction, Observer.Answer.FAILED, 0, Terminal::failed);
         gathered.add(new ClientGone(transaction.number));
     }
 
@@ -288,9 +325,10 @@
         } else if (action instanceof SetTimer timer) {
             loop.at(timer.dueAt(), () -> gathered.add(new TimerDue(timer.name())));
         } else if (action instanceof Refuse refuse) {
-            answer(refuse.request(), terminal -> terminal.refused(refuse.retryAfter()));
+            answer(refuse.request(), Observer.Answer.REFUSED, refuse.retryAfter(),
+                    terminal -> terminal.refused(refuse.retryAfter()));
         } else if (action instanceof Fail fail) {
-            answer(fail.request(), Terminal::failed);
+            answer(fail.request(), Observer.Answer.FAILED, 0, Terminal::failed);
         } else if (action instanceof Cancel cancel) {
             cancel(byNumber.get(cancel.request()), cancel.attempt());
         } else if (action instanceof Subscribe) {
@@ -302,10 +340,10 @@
         }
     }
 
-    private void answer(long number, Consumer<Terminal> answer) {
+    private void answer(long number, Observer.Answer what, long retryAfter, Consumer<Terminal> answer) {
         var transaction = byNumber.get(number);
         if (transaction != null && !transaction.answered) {
-            answer(transaction, answer);
+            answer(transaction, what, retryAfter, answer);
         }
     }
 
@@ -320,6 +358,9 @@
         long until = send.timeOut() > 0 ? Math.min(deadline, loop.now() + send.timeOut()) : deadline;
         var task = new RoutedTask(transaction, transaction.tasks.size(), send.worker(), until);
         transaction.tasks.add(task);
+        if (observer != null) {
+            observer.sent(transaction.number, task.number, task.worker, until, loop.now());
+        }
         boolean moot = transaction.answered || until <= loop.now() || task.number >= maxAttempts
                 || !listedWorkers.contains(send.worker());
         task.timeOut = moot ? () -> { } : loop.at(until, () -> abandon(task, Outcome.TIMED_OUT));
