--- a/app/src/main/java/ryemast/toml/TomlTable.java
+++ b/app/src/main/java/ryemast/toml/TomlTable.java
@@ -151,6 +151,27 @@
                 : wrong(key, value, "the lower end of the range first", otherwise);
     }
 
+    /** An array of finite numbers, one at least; null where the key is absent or at fault. */
+    public double[] numbers(String key, double least, double most) {
+        var value = ask(key);
+        var expected = "an array of numbers " + Values.between(least, most);
+        if (value == null) {
+            return null;
+        }
+        if (!(value instanceof TomlArray array) || array.isEmpty()) {
+            return wrong(key, value, expected, null);
+        }
+        var found = new double[array.size()];
+        for (int i = 0; i < found.length; i++) {
+            Double each = Values.finite(array.get(i));
+            if (each == null || each < least || each > most) {
+                return wrong(key, array.get(i), expected, null);
+            }
+            found[i] = each;
+        }
+        return found;
+    }
+
     /** One text or an array of texts, each one of those allowed; any text is where none are named. */
     public List<String> words(String key, List<String> otherwise, List<String> allowed) {
         var value = ask(key);
--- a/lab/src/main/java/ryemast/lab/cli/JsonFile.java
+++ b/lab/src/main/java/ryemast/lab/cli/JsonFile.java
@@ -23,10 +23,11 @@
         }
     }
 
-    private static void check(Path file) throws BadCall {
+    /** Whether a file of that name can be written. */
+    static void check(Path file) throws BadCall {
         var folder = file.getParent();
         if (Files.isDirectory(file)) {
-            throw new BadCall(file + ": is a folder; --json needs the name of a file");
+            throw new BadCall(file + ": is a folder; expected the name of a file");
         }
         if (folder == null || !Files.isDirectory(folder)) {
             throw new BadCall(file + ": the folder " + folder + " does not exist");
--- a/lab/src/main/java/ryemast/lab/scenario/Aim.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Aim.java
@@ -16,10 +16,15 @@
  * @param ofKind       -1: any
  * @param inZone       -1: any
  * @param dispatchers  how many
+ * @param named        these and no others; empty: not said
  */
-record Aim(Range boxes, Range share, int ofKind, int inZone, boolean all, Range dispatchers) {
+record Aim(Range boxes, Range share, int ofKind, int inZone, boolean all, Range dispatchers, List<Nth> named) {
 
-    private static final List<String> HOW_MANY = List.of("boxes", "share", "all");
+    private static final List<String> HOW_MANY = List.of("boxes", "share", "all", "box");
+
+    /** The n-th box of a kind, from 0. */
+    record Nth(int kind, int n) {
+    }
 
     static Aim read(Section in, List<KindPlan> kinds, List<String> zones, int leastDispatchers) {
         var said = new ArrayList<String>();
@@ -29,7 +34,8 @@
             }
         }
         if (said.size() > 1) {
-            in.complain(said.get(1), said.get(0) + " is given already; expected one of boxes, share and all");
+            in.complain(said.get(1), said.get(0) + " is given already; expected one of boxes, share, all and "
+                    + "box");
         }
         var kindNames = kinds.stream().map(KindPlan::name).toList();
         int ofKind = index(in, "of_kind", kindNames, "kind");
@@ -53,7 +59,24 @@
                     + " that there are");
         }
         return new Aim(said.contains("boxes") ? boxes : null, said.contains("share") ? share : null, ofKind,
-                inZone, all, dispatchers);
+                inZone, all, dispatchers, named(in, kinds));
+    }
+
+    /** As in {@code "quick 3"}, the third of that kind. */
+    private static List<Nth> named(Section in, List<KindPlan> kinds) {
+        var found = new ArrayList<Nth>();
+        for (var each : in.given("box") ? in.texts("box", List.of(), List.of()) : List.<String>of()) {
+            var parts = each.split(" ");
+            int kind = kinds.stream().map(KindPlan::name).toList().indexOf(parts[0]);
+            int n = parts.length == 2 && parts[1].matches("[1-9][0-9]{0,4}") ? Integer.parseInt(parts[1]) : 0;
+            if (kind < 0 || n < 1 || n > kinds.get(kind).count().low()) {
+                in.complain("box", "is \"" + each + "\"; expected a kind and a number, as in \""
+                        + (kinds.isEmpty() ? "quick" : kinds.get(0).name()) + " 1\" for its first box");
+            } else {
+                found.add(new Nth(kind, n - 1));
+            }
+        }
+        return List.copyOf(found);
     }
 
     private static int index(Section in, String key, List<String> names, String what) {
@@ -69,6 +92,9 @@
 
     /** {@code fallBack}: all of them where the scenario says nothing of which, else one. */
     List<Integer> drawBoxes(List<BoxSpec> fleet, boolean fallBack, Chance chance, String key, long number) {
+        if (!named.isEmpty()) {
+            return named.stream().map(each -> Fleet.place(fleet, each.kind, each.n, chance)).toList();
+        }
         var those = fleet.stream().filter(each -> ofKind < 0 || each.kind() == ofKind)
                 .filter(each -> inZone < 0 || each.zone() == inZone).map(BoxSpec::index).toList();
         int wanted;
--- a/lab/src/main/java/ryemast/lab/scenario/DemandPlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/DemandPlan.java
@@ -1,5 +1,10 @@
 package ryemast.lab.scenario;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.InvalidPathException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -12,7 +17,7 @@
 
 /** What a scenario file says of jobs: their classes, who sends them, how many, and how clients behave. */
 record DemandPlan(List<ClassPlan> classes, List<TenantPlan> tenants, Range ratePerSecond, Range ofCapacity,
-        Range connections, Range quota, Function<Chance, Scenario.Load> load,
+        Range connections, Range quota, Replay replay, Function<Chance, Scenario.Load> load,
         Function<Chance, Scenario.Clients> clients) {
 
     private static final double A_MINUTE_MS = 60_000;
@@ -28,34 +33,53 @@
     }
 
     static DemandPlan read(Function<String, Section> file, List<TomlTable> classTables,
-            List<TomlTable> tenantTables, Set<String> known) {
+            List<TomlTable> tenantTables, Path folder, Set<String> known) {
         var in = file.apply("load");
         var rate = in.number("rate_per_s", 0, 0.001, 1_000_000);
         var ofCapacity = in.number("of_capacity", Defaults.OF_CAPACITY, 0.001, 100);
         var connections = in.count("connections", 0, 1, 100_000);
         var said = new ArrayList<String>();
-        for (var key : List.of("rate_per_s", "of_capacity", "connections")) {
+        for (var key : List.of("rate_per_s", "of_capacity", "connections", "replay")) {
             if (in.given(key)) {
                 said.add(key);
             }
         }
         if (said.size() > 1) {
             in.complain(said.get(1), said.get(0) +
-                    " is given already; expected one of rate_per_s, of_capacity "
-                    + "and connections");
+                    " is given already; expected one of rate_per_s, of_capacity, "
+                    + "connections and replay");
         }
         for (var key : List.of("shape", "swing", "period_s")) {
             if (in.given(key) && said.contains("connections")) {
                 in.complain(key,
                         "a closed loop has no rate of its own; expected no such key beside connections");
+            } else if (in.given(key) && said.contains("replay")) {
+                in.complain(key, "the jobs come when they came; expected no such key beside replay");
             }
         }
         var classes = classes(classTables, known);
         var tenants = tenants(tenantTables, known);
+        boolean drawn = !said.contains("connections") && !said.contains("replay");
         return new DemandPlan(classes, tenants, said.contains("rate_per_s") ? rate : null,
-                said.contains("connections") ? null : ofCapacity, said.contains("connections") ? connections :
-                null, in.number("quota_of_capacity", Defaults.QUOTA_OF_CAPACITY, 0.001, 100), load(in),
-                clients(file.apply("clients")));
+                drawn ? ofCapacity : null, said.contains("connections") ? connections : null,
+                in.number("quota_of_capacity", Defaults.QUOTA_OF_CAPACITY, 0.001, 100),
+                replay(in, folder, classes, tenants), load(in), clients(file.apply("clients")));
+    }
+
+    /** The file beside the scenario's own, unless its path says otherwise. */
+    private static Replay replay(Section in, Path folder, List<ClassPlan> classes, List<TenantPlan> tenants) {
+        var named = in.text("replay", null);
+        if (named == null) {
+            return null;
+        }
+        try {
+            return Replay.read(folder.resolve(named), classes.stream().map(ClassPlan::name).toList(),
+                    tenants.stream().map(TenantPlan::name).toList());
+        } catch (IOException | UncheckedIOException | InvalidPathException e) {
+            in.complain("replay", "can't be read: " + (e instanceof NoSuchFileException
+                    ? "there is no file " + e.getMessage() : e.getMessage()));
+            return null;
+        }
     }
 
     private static Function<Chance, Scenario.Load> load(Section in) {
@@ -167,8 +191,12 @@
         var l = load.apply(chance);
         double rate = ratePerSecond != null ? ratePerSecond.draw(chance)
                 : ofCapacity != null ? ofCapacity.draw(chance) * capacity : 0;
+        if (replay != null) {
+            long last = replay.jobs().get(replay.jobs().size() - 1).at();
+            rate = replay.jobs().size() * Section.SECOND / Math.max(1, last);
+        }
         return new Scenario.Load(rate, connections != null ? connections.count(chance) : 0, l.shape(),
-                l.swing(), l.period(), l.hints(), l.hintSigma(), l.bodyBytes());
+                l.swing(), l.period(), l.hints(), l.hintSigma(), l.bodyBytes(), replay);
     }
 
     private static <T> double sum(List<T> all, ToDoubleFunction<T> of) {
--- a/lab/src/main/java/ryemast/lab/scenario/FaultPlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/FaultPlan.java
@@ -30,7 +30,7 @@
     /** More faults at random than this would say nothing that fewer don't. */
     private static final int MOST = 10_000;
     private static final List<String> PARTICULAR = List.of("boxes", "share", "of_kind", "in_zone", "all",
-            "dispatchers", "for_s", "every_s", "share_of_jobs", "class", "size");
+            "box", "dispatchers", "for_s", "every_s", "share_of_jobs", "class", "size");
 
     /** What faults may name. */
     record Site(List<KindPlan> kinds, List<String> zones, List<String> classes, int leastDispatchers,
--- a/lab/src/main/java/ryemast/lab/scenario/FaultTraits.java
+++ b/lab/src/main/java/ryemast/lab/scenario/FaultTraits.java
@@ -64,7 +64,7 @@
     /** Whether it takes a key of a fault's table; true for those that every kind takes. */
     boolean takes(String key) {
         return switch (key) {
-            case "boxes", "share", "of_kind", "in_zone", "all" -> struck == Struck.BOXES;
+            case "boxes", "share", "of_kind", "in_zone", "all", "box" -> struck == Struck.BOXES;
             case "dispatchers" -> struck == Struck.DISPATCHERS;
             case "for_s" -> !Double.isNaN(lasts);
             case "every_s" -> !Double.isNaN(every);
--- a/lab/src/main/java/ryemast/lab/scenario/Fleet.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import ryemast.lab.scenario.Scenario.BoxSpec;
 import ryemast.lab.world.Chance;
@@ -42,21 +43,37 @@
             int perZone = (count + places - 1) / places;
             cells += places * ((perZone + cellSize - 1) / cellSize);
         }
-        Collections.shuffle(unplaced, new Random(chance.stream("scenario order", 0).nextLong()));
+        var order = order(unplaced.size(), chance);
         var boxes = new ArrayList<BoxSpec>();
         for (int i = 0; i < unplaced.size(); i++) {
-            var id = String.format(Locale.ROOT, "box-%04d-%s", i, kinds.get(unplaced.get(i).kind()).name());
-            boxes.add(placed(unplaced.get(i), i, id));
+            var box = unplaced.get(order.get(i));
+            var id = String.format(Locale.ROOT, "box-%04d-%s", i, kinds.get(box.kind()).name());
+            boxes.add(placed(box, i, id));
         }
         return List.copyOf(boxes);
     }
 
+    /** Which of the boxes, counted kind by kind, stands at each place. */
+    private static List<Integer> order(int count, Chance chance) {
+        var order = new ArrayList<>(IntStream.range(0, count).boxed().toList());
+        Collections.shuffle(order, new Random(chance.stream("scenario order", 0).nextLong()));
+        return order;
+    }
+
+    /** The place of the n-th box of a kind, from 0; -1 if there are not so many. */
+    static int place(List<BoxSpec> boxes, int kind, int n, Chance chance) {
+        long before = boxes.stream().filter(box -> box.kind() < kind).count();
+        long of = boxes.stream().filter(box -> box.kind() == kind).count();
+        return n >= of ? -1 : order(boxes.size(), chance).indexOf((int) before + n);
+    }
+
     private static BoxSpec own(BoxSpec b, KindPlan plan, int number, int zone, int cell,
             SitePlan.Weights weights, Chance chance) {
         var draw = chance.stream("scenario box " + plan.name(), number);
         var gaussian = ZigguratSampler.NormalizedGaussian.of(draw);
         double speedSigma = Math.sqrt(Math.log1p(Math.pow(plan.speedVariation().draw(chance), 2)));
-        double speed = b.speed() * Math.exp(speedSigma * gaussian.sample() - speedSigma * speedSigma / 2);
+        double drawn = b.speed() * Math.exp(speedSigma * gaussian.sample() - speedSigma * speedSigma / 2);
+        double speed = plan.speeds() == null ? drawn : plan.speeds()[number];
         double size = b.cores() * b.speed();
         double weight = switch (weights) {
             case NONE -> 1;
--- a/lab/src/main/java/ryemast/lab/scenario/Scenario.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Scenario.java
@@ -101,9 +101,15 @@
      * @param swing          how far the rate swings about its mean, as a part of it
      * @param period         how long a swing lasts
      * @param hintSigma      of the logarithm of a rough hint's error
+     * @param replay         the very jobs that come, whatever the others say of them; null: they are drawn
      */
     public record Load(double ratePerSecond, int connections, Shape shape, double swing, long period,
-            Hints hints, double hintSigma, int bodyBytes) {
+            Hints hints, double hintSigma, int bodyBytes, Replay replay) {
+
+        public Load(double ratePerSecond, int connections, Shape shape, double swing, long period, Hints hints,
+                double hintSigma, int bodyBytes) {
+            this(ratePerSecond, connections, shape, swing, period, hints, hintSigma, bodyBytes, null);
+        }
     }
 
     public enum Backoff { NONE, FIXED, EXPONENTIAL }
--- a/lab/src/main/java/ryemast/lab/scenario/ScenarioBuilder.java
+++ b/lab/src/main/java/ryemast/lab/scenario/ScenarioBuilder.java
@@ -78,7 +78,7 @@
     /** An open loop of so many jobs a second. */
     public ScenarioBuilder rate(double perSecond) {
         return load(new Scenario.Load(perSecond, 0, load.shape(), load.swing(), load.period(), load.hints(),
-                load.hintSigma(), load.bodyBytes()));
+                load.hintSigma(), load.bodyBytes(), null));
     }
 
     /** A closed loop of so many clients. */
--- a/lab/src/main/java/ryemast/lab/scenario/ScenarioFile.java
+++ b/lab/src/main/java/ryemast/lab/scenario/ScenarioFile.java
@@ -52,7 +52,8 @@
         kinds = kinds(root);
         Function<String, Section> section = table -> new Section(root.table(table), table, table, known);
         site = SitePlan.read(section, kinds);
-        demand = DemandPlan.read(section, root.tables("class"), root.tables("tenant"), known);
+        demand = DemandPlan.read(section, root.tables("class"), root.tables("tenant"),
+                file.toAbsolutePath().getParent(), known);
         checkSlots(root);
         var named = new FaultPlan.Site(kinds, zones, demand.classes().stream().map(DemandPlan.ClassPlan::name)
                 .toList(), site.leastDispatchers(), length);
--- a/lab/src/main/java/ryemast/lab/scenario/Section.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Section.java
@@ -47,6 +47,11 @@
         return range(key, otherwise, 1, least, most);
     }
 
+    /** Null where the key is absent. */
+    double[] numbers(String key, double least, double most) {
+        return table.numbers(ask(key), least, most);
+    }
+
     Range seconds(String key, double otherwise, double least, double most) {
         return range(key, otherwise / SECOND, SECOND, least, most);
     }
--- a/lab/src/main/java/ryemast/lab/site/Arrivals.java
+++ b/lab/src/main/java/ryemast/lab/site/Arrivals.java
@@ -4,6 +4,7 @@
 import java.util.stream.LongStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import ryemast.lab.scenario.Replay;
 import ryemast.lab.scenario.Scenario;
 import ryemast.lab.world.Chance;
 
@@ -14,7 +15,7 @@
  * <p>Drawn by thinning (Lewis and Shedler, "Simulation of nonhomogeneous Poisson processes by thinning",
  * 1979). The shape is scaled by its own mean over the run, so that the run as a whole has the rate that the
  * scenario asks for however many swings it holds. Draws from two streams of its own and depends on nothing
- * that happens.
+ * that happens. Where a scenario replays recorded jobs, they come when they came, and nothing is drawn.
  */
 public final class Arrivals {
 
@@ -24,6 +25,7 @@
     private static final double SECOND = 1e6;
     private static final double FLAT = 1e-9;
 
+    private final Replay replay;
     private final Shape shape;
     private final long length;
     private final double mean;
@@ -31,9 +33,11 @@
     private final UniformRandomProvider thinning;
     private final ZigguratSampler.Exponential gap;
     private double at;
+    private int replayed;
 
     public Arrivals(Scenario.Load load, long length, Chance chance) {
         this.length = length;
+        replay = load.replay();
         var draw = chance.stream("arrivals shape", 0);
         Shape wanted = switch (load.shape()) {
             case STEADY -> new Steady();
@@ -50,6 +54,10 @@
 
     /** Microseconds from the run's start to the next job, or {@link #OVER}. */
     public long next() {
+        if (replay != null) {
+            boolean more = replayed < replay.jobs().size() && replay.jobs().get(replayed).at() < length;
+            return more ? replay.jobs().get(replayed++).at() : OVER;
+        }
         while (true) {
             at += gap.sample() / highest;
             if (!(at < length)) {
--- a/lab/src/main/java/ryemast/lab/site/Jobs.java
+++ b/lab/src/main/java/ryemast/lab/site/Jobs.java
@@ -33,6 +33,9 @@
 
     /** {@code now}: when it is made, for the spells; it counts from {@code askedAt}. */
     Job make(long number, long askedAt, long now) {
+        if (scenario.load().replay() != null) {
+            return again(number, askedAt, now);
+        }
         var draw = chance.stream("job", number);
         int jobClass = pick(scenario.classes(), JobClass::share, draw);
         int tenant = Math.max(0, pick(scenario.tenants(), Scenario.Tenant::usage, draw));
@@ -45,6 +48,17 @@
                 askedAt + kind.deadline(), poisoned);
     }
 
+    /** As it was recorded; spells of the timetable come on top of what the recording had. */
+    private Job again(long number, long askedAt, long now) {
+        var job = scenario.load().replay().jobs().get((int) number);
+        var kind = scenario.classes().get(job.jobClass());
+        var spell = chance.stream("job spells", number);
+        double work = job.work() * spells.factor(job.jobClass(), now, spell);
+        boolean poisoned = spells.poisoned(job.jobClass(), now, spell) || job.poisoned();
+        return new Job(number, job.jobClass(), job.tenant(), Math.max(1, work), kind.slots(), job.hint(), askedAt,
+                askedAt + kind.deadline(), poisoned);
+    }
+
     /** Nobody knows beforehand that a job will be heavy, so a hint speaks of the plain work. */
     private long hint(double plain, UniformRandomProvider draw) {
         return switch (scenario.load().hints()) {
