--- a/lab/src/main/java/ryemast/lab/fit/DemandTables.java
+++ b/lab/src/main/java/ryemast/lab/fit/DemandTables.java
@@ -80,7 +80,7 @@
             var table = new Table("[[class]]", "class " + one.name());
             table.text("name", one.name(), "");
             table.figure("share", shares[i], 0.0001, 1);
-            var fitted = Works.fit(samples.getOrDefault(i, List.of()));
+            var fitted = Works.fit(samples.getOrDefault(i, List.of()), speeds.commonError());
             if (fitted != null) {
                 works.put(i, fitted);
                 table.figure("work_ms", fitted.meanMs(), 0.001, 3_600_000);
--- a/lab/src/main/java/ryemast/lab/fit/Expected.java
+++ b/lab/src/main/java/ryemast/lab/fit/Expected.java
@@ -50,6 +50,7 @@
     private final Map<Integer, Curve> curves = new HashMap<>();
     private final Map<Box, Double> speeds = new HashMap<>();
     private Curve any;
+    private double commonError;
 
     /**
      * @param hint  a run's logarithm; 0 for all where there are none
@@ -73,6 +74,25 @@
             byBox.forEach((box, of) -> speeds.put(box, median(of, run -> of(run) - time.applyAsDouble(run))));
             centre(runs, time);
         }
+        commonError = commonError(runs, time);
+    }
+
+    /**
+     * What all boxes' logarithms may be off together, as a standard error: the constant rests on the hints' own
+     * errors, and what is expected of a hint on about as many runs again for each half of the hints. A median has
+     * half of pi times the variance of a mean.
+     */
+    private double commonError(List<Attempt> runs, ToDoubleFunction<Attempt> time) {
+        var left = runs.stream().mapToDouble(run -> of(run) - time.applyAsDouble(run) - speeds.get(run.box)).toArray();
+        var hints = runs.stream().mapToDouble(run -> hint.applyAsDouble(run) - time.applyAsDouble(run)
+                - speeds.get(run.box)).toArray();
+        double of = Stats.sigma(left, "").value();
+        double ofHints = Stats.sigma(hints, "").value();
+        return Double.isNaN(of) ? 0 : Math.sqrt(Math.PI / 2 * (ofHints * ofHints + 2 * of * of) / runs.size());
+    }
+
+    double commonError() {
+        return commonError;
     }
 
     /** The middle hint is right; where there are none, the middle speed is 1. */
--- a/lab/src/main/java/ryemast/lab/fit/Shapes.java
+++ b/lab/src/main/java/ryemast/lab/fit/Shapes.java
@@ -4,15 +4,7 @@
 import java.util.List;
 import java.util.function.ToDoubleFunction;
 import org.apache.commons.math3.analysis.MultivariateFunction;
-import org.apache.commons.math3.exception.TooManyEvaluationsException;
-import org.apache.commons.math3.optim.InitialGuess;
-import org.apache.commons.math3.optim.MaxEval;
 import org.apache.commons.math3.optim.PointValuePair;
-import org.apache.commons.math3.optim.SimpleValueChecker;
-import org.apache.commons.math3.optim.nonlinear.scalar.GoalType;
-import org.apache.commons.math3.optim.nonlinear.scalar.ObjectiveFunction;
-import org.apache.commons.math3.optim.nonlinear.scalar.noderiv.NelderMeadSimplex;
-import org.apache.commons.math3.optim.nonlinear.scalar.noderiv.SimplexOptimizer;
 import ryemast.lab.scenario.Scenario.Shape;
 
 /**
@@ -31,14 +23,19 @@
     private static final int MOST_BINS = 20_000;
     private static final double SHORTEST_PERIOD = 1.5;
     private static final double HALF = 0.5;
-    /** Akaike's criterion must be better by this, or the simpler shape is taken. */
-    private static final double CLEARLY = 6;
+    /**
+     * Akaike's criterion must be better by this, or the simpler shape is taken: the best of a hundred frequencies
+     * is better by chance, and this is reached by one steady recording in a hundred.
+     */
+    private static final double CLEARLY = 12;
     /** Half of chi squared's 95%. */
     private static final double DROP = 1.92;
     private static final double FORBIDDEN = 1e12;
-    private static final int EVALUATIONS = 3_000;
-    private static final double STEP = 1.07;
-    private static final int MOST_STEPS = 60;
+    private static final double CLOSE = 1e-4;
+    /** The ends of an interval are looked for in steps of a value's part that grow. */
+    private static final double FIRST_STEP = 0.001;
+    private static final double LONGEST_STEP = 0.1;
+    private static final int MOST_STEPS = 80;
 
     record Fitted(Figure rate, Shape shape, Figure swing, Figure periodS) {
     }
@@ -87,7 +84,7 @@
         for (double count : counts) {
             steady += count * Math.log(mean) - mean;
         }
-        var wave = best(this::wave, waveStart(at, mean), 0.1);
+        var wave = Least.of(this::wave, waveStart(at, mean), 0.05, CLOSE);
         var leaps = leapsBest(mean);
         double steadyAic = 2 - 2 * steady;
         double waveAic = 8 + 2 * wave.getValue();
@@ -168,60 +165,49 @@
     private PointValuePair leapsBest(double mean) {
         PointValuePair best = null;
         for (double period = 3; period < length; period *= 3) {
-            var found = best(this::leaps, new double[] {mean, 0.3, Math.log(period)}, 0.1);
+            var found = Least.of(this::leaps, new double[] {mean, 0.3, Math.log(period)}, 0.1, CLOSE);
             best = best == null || found.getValue() < best.getValue() ? found : best;
         }
         return best;
     }
 
-    private static PointValuePair best(MultivariateFunction minus, double[] from, double step) {
-        var steps = new double[from.length];
-        for (int i = 0; i < steps.length; i++) {
-            steps[i] = i == 0 ? step * from[0] : step;
-        }
-        try {
-            return new SimplexOptimizer(new SimpleValueChecker(1e-9, 1e-4)).optimize(new MaxEval(EVALUATIONS),
-                    new ObjectiveFunction(minus), GoalType.MINIMIZE, new InitialGuess(from),
-                    new NelderMeadSimplex(steps));
-        } catch (TooManyEvaluationsException e) {
-            return new PointValuePair(from, minus.value(from));
-        }
-    }
-
     /** All values of one parameter with which the others can still make the likelihood nearly the best. */
     private static Figure profile(MultivariateFunction minus, PointValuePair best, int which, double least,
             double most, long samples) {
         boolean isLog = which == 2;
         double value = isLog ? Math.exp(best.getPoint()[which]) : best.getPoint()[which];
-        double low = end(minus, best, which, isLog, 1 / STEP, least);
-        double high = end(minus, best, which, isLog, STEP, most);
+        double low = end(minus, best, which, isLog, -1, least);
+        double high = end(minus, best, which, isLog, 1, most);
         return new Figure(value, low, high, samples, "jobs");
     }
 
     private static double end(MultivariateFunction minus, PointValuePair best, int which, boolean isLog,
-            double factor, double limit) {
+            int way, double limit) {
         double value = isLog ? Math.exp(best.getPoint()[which]) : best.getPoint()[which];
         double last = best.getValue();
         var from = best.getPoint();
-        for (int step = 0; step < MOST_STEPS; step++) {
+        double step = FIRST_STEP;
+        for (int i = 0; i < MOST_STEPS; i++) {
             double before = value;
-            value *= factor;
-            if (factor > 1 ? value >= limit : value <= Math.max(limit, 1e-3)) {
+            value *= Math.exp(way * step);
+            step = Math.min(LONGEST_STEP, step * 1.5);
+            if (way > 0 ? value >= limit : value <= Math.max(limit, 1e-3)) {
                 return limit;
             }
             double at = isLog ? Math.log(value) : value;
             var others = without(from, which);
-            var found = best(p -> minus.value(with(p, which, at)), others, 0.05);
+            var found = Least.of(p -> minus.value(with(p, which, at)), others, 0.02, CLOSE);
             from = with(found.getPoint(), which, at);
             double drop = found.getValue() - best.getValue();
             if (drop > DROP) {
-                // Between the two last values in proportion.
-                double part = (DROP - (last - best.getValue())) / Math.max(1e-9, found.getValue() - last);
+                // Likelihoods fall as squares do.
+                double near = Math.sqrt(Math.max(0, last - best.getValue()));
+                double part = (Math.sqrt(DROP) - near) / Math.max(1e-9, Math.sqrt(drop) - near);
                 return before + Math.max(0, Math.min(1, part)) * (value - before);
             }
             last = found.getValue();
         }
-        return factor > 1 ? Double.POSITIVE_INFINITY : 0;
+        return way > 0 ? Double.POSITIVE_INFINITY : 0;
     }
 
     private static double[] without(double[] p, int which) {
--- a/lab/src/main/java/ryemast/lab/fit/Speeds.java
+++ b/lab/src/main/java/ryemast/lab/fit/Speeds.java
@@ -267,7 +267,7 @@
         // All stretches that are about as fast belong to the base.
         var atBase = new ArrayList<Double>();
         for (int i = 0; i < stretches.size(); i++) {
-            if (base.value() - middles.get(i).value() <= Math.log(SLOWER)) {
+            if (!slower(base, middles.get(i))) {
                 for (int v = stretches.get(i).from(); v < stretches.get(i).to(); v++) {
                     atBase.add(values[v]);
                 }
@@ -275,16 +275,32 @@
         }
         var log = Stats.median(atBase.stream().mapToDouble(Double::doubleValue).toArray(), "runs");
         if (log.samples() >= FEW) {
-            logSpeeds.put(box, log);
+            logSpeeds.put(box, widened(log));
         }
         for (int i = 0; i < stretches.size(); i++) {
-            if (base.value() - middles.get(i).value() > Math.log(SLOWER)) {
+            if (slower(base, middles.get(i))) {
                 var next = i + 1 < stretches.size() ? stretches.get(i + 1) : null;
                 slow.add(slow(box, own, stretches.get(i), next, log, middles.get(i)));
             }
         }
     }
 
+    double commonError() {
+        return expected.commonError();
+    }
+
+    /** By what all boxes may be off together. */
+    private Figure widened(Figure log) {
+        double common = 1.96 * expected.commonError();
+        return new Figure(log.value(), log.value() - Math.hypot(log.value() - log.low(), common),
+                log.value() + Math.hypot(log.high() - log.value(), common), log.samples(), log.what());
+    }
+
+    /** By more than chance, and by enough to matter. */
+    private static boolean slower(Figure base, Figure middle) {
+        return base.value() - middle.value() > Math.log(SLOWER) && base.low() > middle.high();
+    }
+
     /** The leap itself lies between two runs' starts. */
     private Slow slow(Box box, List<Attempt> own, Steps.Stretch here, Steps.Stretch next, Figure base,
             Figure middle) {
--- a/lab/src/main/java/ryemast/lab/fit/Steps.java
+++ b/lab/src/main/java/ryemast/lab/fit/Steps.java
@@ -25,7 +25,8 @@
     private final double[] sums;
     private final double sigma;
     private final double bar;
-    private final List<Stretch> found = new ArrayList<>();
+    /** Where it leaps, in order. */
+    private final List<Integer> leaps = new ArrayList<>();
 
     private Steps(double[] values, double sigma, int series) {
         this.sigma = sigma;
@@ -53,8 +54,8 @@
             cut[i] = Math.max(near - WILD * sigma, Math.min(near + WILD * sigma, values[i]));
         }
         var steps = new Steps(cut, sigma, series);
-        steps.split(0, values.length, 0, 0);
-        return List.copyOf(steps.found);
+        steps.split(0, values.length);
+        return steps.stretches(values.length);
     }
 
     /** The median of the values about one. */
@@ -65,9 +66,19 @@
         return Stats.median(some);
     }
 
-    private void split(int from, int to, int earliest, int latest) {
+    private void split(int from, int to) {
+        int best = best(from, to);
+        if (best < 0 || ratio(from, best, to) <= bar) {
+            return;
+        }
+        split(from, best);
+        leaps.add(best);
+        split(best, to);
+    }
+
+    private int best(int from, int to) {
         int best = -1;
-        double most = bar;
+        double most = 0;
         for (int at = from + LEAST; at <= to - LEAST; at++) {
             double ratio = ratio(from, at, to);
             if (ratio > most) {
@@ -75,20 +86,35 @@
                 best = at;
             }
         }
-        if (best < 0) {
-            found.add(new Stretch(from, to, earliest, latest));
-            return;
+        return best;
+    }
+
+    /** Each leap is placed anew between its neighbours, as others pulled at it when it was found (Bai, 1997). */
+    private List<Stretch> stretches(int length) {
+        for (int i = 0; i < leaps.size(); i++) {
+            int better = best(i == 0 ? 0 : leaps.get(i - 1), i + 1 < leaps.size() ? leaps.get(i + 1) : length);
+            leaps.set(i, better < 0 ? leaps.get(i) : better);
+        }
+        var found = new ArrayList<Stretch>();
+        for (int i = 0; i <= leaps.size(); i++) {
+            int from = i == 0 ? 0 : leaps.get(i - 1);
+            int to = i < leaps.size() ? leaps.get(i) : length;
+            found.add(i == 0 ? new Stretch(0, to, 0, 0) : placed(i == 1 ? 0 : leaps.get(i - 2), from, to));
         }
-        int first = best;
-        int last = best;
-        for (int at = from + 1; at < to; at++) {
-            if (ratio(from, at, to) >= most - PLACE) {
+        return List.copyOf(found);
+    }
+
+    private Stretch placed(int before, int from, int to) {
+        double most = ratio(before, from, to);
+        int first = from;
+        int last = from;
+        for (int at = before + 1; at < to; at++) {
+            if (ratio(before, at, to) >= most - PLACE) {
                 first = Math.min(first, at);
                 last = Math.max(last, at);
             }
         }
-        split(from, best, earliest, latest);
-        split(best, to, first, last);
+        return new Stretch(from, to, first, last);
     }
 
     private double ratio(int from, int at, int to) {
--- a/lab/src/main/java/ryemast/lab/fit/Works.java
+++ b/lab/src/main/java/ryemast/lab/fit/Works.java
@@ -5,14 +5,6 @@
 import org.apache.commons.math3.analysis.MultivariateFunction;
 import org.apache.commons.math3.linear.Array2DRowRealMatrix;
 import org.apache.commons.math3.linear.SingularValueDecomposition;
-import org.apache.commons.math3.optim.InitialGuess;
-import org.apache.commons.math3.optim.MaxEval;
-import org.apache.commons.math3.optim.PointValuePair;
-import org.apache.commons.math3.optim.SimpleValueChecker;
-import org.apache.commons.math3.optim.nonlinear.scalar.GoalType;
-import org.apache.commons.math3.optim.nonlinear.scalar.ObjectiveFunction;
-import org.apache.commons.math3.optim.nonlinear.scalar.noderiv.NelderMeadSimplex;
-import org.apache.commons.math3.optim.nonlinear.scalar.noderiv.SimplexOptimizer;
 import org.apache.commons.statistics.distribution.ChiSquaredDistribution;
 import org.apache.commons.statistics.distribution.NormalDistribution;
 import ryemast.lab.scenario.Scenario.Spread;
@@ -29,8 +21,9 @@
     /** A spread this narrow is the noise of clocks and networks. */
     private static final double NARROW = 0.03;
     private static final double Z = 1.959964;
-    private static final int EVALUATIONS = 20_000;
     private static final double MS = 1e3;
+    /** From here the first terms of the tail's series are right to six digits. */
+    private static final double FAR_BELOW = -20;
     /** Less than this a clock does not tell. */
     private static final double NOISE = 0.002;
     /** The Pareto of a scenario has a variance; a tail heavier than that is written as the heaviest there is. */
@@ -50,8 +43,20 @@
     private Works() {
     }
 
-    /** Null: too few to tell. */
-    static Fitted fit(List<Sample> samples) {
+    /** {@code common}: the standard error of what the works' logarithms may all be off by. Null: too few to tell. */
+    static Fitted fit(List<Sample> samples, double common) {
+        var found = fit(samples);
+        if (found == null) {
+            return null;
+        }
+        double mean = found.meanMs.value();
+        double low = Math.hypot(Math.log(mean / found.meanMs.low()), Z * common);
+        double high = Math.hypot(Math.log(found.meanMs.high() / mean), Z * common);
+        return new Fitted(found.spread, new Figure(mean, mean * Math.exp(-low), mean * Math.exp(high),
+                found.meanMs.samples(), found.meanMs.what()), found.cv, found.cut, found.aic);
+    }
+
+    private static Fitted fit(List<Sample> samples) {
         long done = samples.stream().filter(Sample::done).count();
         if (done < FEW) {
             return null;
@@ -95,7 +100,7 @@
         double mu = Arrays.stream(done).average().orElse(0);
         double s = Math.max(1e-3, Math.sqrt(Stats.variance(done, mu)));
         MultivariateFunction minus = p -> -likelihood(samples, p[0], Math.exp(p[1]));
-        var best = minimum(minus, new double[] {mu, Math.log(s)}, 0.1 * Math.max(s, 0.1));
+        var best = Least.of(minus, new double[] {mu, Math.log(s)}, 0.1 * Math.max(s, 0.1), 1e-6);
         double[] at = best.getPoint();
         double sigma = Math.exp(at[1]);
         double[][] variance = inverse(hessian(minus, at));
@@ -161,7 +166,7 @@
         double over = samples.stream().mapToDouble(each -> Math.max(0, Math.log(each.work) - least)).sum();
         double shape = (samples.size() - cut) / Math.max(1e-6, over);
         MultivariateFunction minus = p -> -paretoLikelihood(samples, p[0], Math.exp(p[1]), Math.exp(p[2]));
-        var best = minimum(minus, new double[] {least + 0.05, Math.log(shape), Math.log(0.05)}, 0.1);
+        var best = Least.of(minus, new double[] {least + 0.05, Math.log(shape), Math.log(0.05)}, 0.1, 1e-6);
         var at = best.getPoint();
         shape = Math.exp(at[1]);
         var variance = inverse(hessian(minus, at));
@@ -186,18 +191,17 @@
         for (var each : samples) {
             double log = Math.log(each.work);
             double z = (log - mu) / s;
-            double tail = NORMAL.cumulativeProbability(z - shape * s);
-            double exponent = -shape * (log - mu) + shape * shape * s * s / 2;
-            sum += each.done ? Math.log(shape) + exponent + Math.log(Math.max(1e-300, tail)) - log
-                    : Math.log(Math.max(1e-300, NORMAL.survivalProbability(z) + Math.exp(exponent) * tail));
+            double tail = shape * shape * s * s / 2 - shape * (log - mu) + logBelow(z - shape * s);
+            sum += each.done ? Math.log(shape) + tail - log
+                    : Math.log(Math.max(1e-300, NORMAL.survivalProbability(z) + Math.exp(Math.min(0, tail))));
         }
         return sum;
     }
 
-    private static PointValuePair minimum(MultivariateFunction minus, double[] from, double step) {
-        return new SimplexOptimizer(new SimpleValueChecker(1e-9, 1e-6)).optimize(new MaxEval(EVALUATIONS),
-                new ObjectiveFunction(minus), GoalType.MINIMIZE, new InitialGuess(from),
-                new NelderMeadSimplex(from.length, step));
+    /** The logarithm of the normal's distribution function, also where that is too small for a double. */
+    private static double logBelow(double z) {
+        return z > FAR_BELOW ? Math.log(NORMAL.cumulativeProbability(z))
+                : -z * z / 2 - Math.log(-z * Math.sqrt(2 * Math.PI)) - 1 / (z * z);
     }
 
     private static double mean(double least, double shape) {
--- a/lab/src/test/java/ryemast/lab/fit/FitterTest.java
+++ b/lab/src/test/java/ryemast/lab/fit/FitterTest.java
@@ -117,13 +117,14 @@
         assertEquals("slow 1", slow.kind() + " " + slow.box().number);
         assertTrue(slow.atS().low() <= 20.1 && slow.atS().high() >= 19.9, slow.atS().toString());
         assertTrue(slow.size().low() <= 3 && slow.size().high() >= 3, slow.size().toString());
-        assertEquals(20, slow.forS().value(), 3);
+        assertTrue(slow.forS().low() <= 20 && slow.forS().high() >= 20, slow.forS().toString());
     }
 
     @Test
     void aHeavySpellAndAPoisonedOneAreFoundWithClassAndTime() throws IOException {
         var site = new MadeUp();
-        site.rate = 20;
+        site.rate = 40;
+        site.works = List.of(MadeUp.lognormal(30_000, 1), MadeUp.lognormal(90_000, 1));
         site.extra = (jobClass, at, draw) -> jobClass == 1 && at >= 15 && at < 35 && draw.nextDouble() < 0.15
                 ? 5 + 23 * draw.nextDouble() : 1;
         site.bad = (jobClass, box, at, draw) -> jobClass == 0 && at >= 30 && at < 50 && draw.nextDouble() < 0.2;
@@ -136,7 +137,7 @@
         assertTrue(poisoned.atS().low() <= 30 && poisoned.atS().high() >= 30, poisoned.atS().toString());
         assertTrue(poisoned.share().low() <= 0.2 && poisoned.share().high() >= 0.2, poisoned.share().toString());
         var work = figure(fitted, "class long", "work_ms");
-        assertTrue(work.low() <= 300 && work.high() >= 300, "spells are left out of the work: " + work);
+        assertTrue(work.low() <= 90 && work.high() >= 90, "spells are left out of the work: " + work);
     }
 
     @Test
@@ -202,13 +203,13 @@
                 recorder.answered(number, tried == 0 ? Answer.REFUSED : Answer.SERVED, tried == 0 ? 250_000 : 0, now);
             }
         }
-        recorder.sent(90_001, 0, MadeUp.name(3), at + 41_000_000, at + 31_000_000);
-        recorder.ended(90_001, 0, Outcome.RESET, at + 31_200_000);
+        recorder.sent(90_001, 0, MadeUp.name(3), at + 41_000_000, at + 32_000_000);
+        recorder.ended(90_001, 0, Outcome.RESET, at + 32_900_000);
         recorder.close();
         var fitted = Fitter.fit(List.of(recording), false);
         var words = fitted.mishaps().stream().map(each -> each.kind() + " " + each.box().number + " "
                 + each.atS().value()).toList();
-        assertEquals(List.of("drain 2 20.0", "crash 3 31.2"), words, fitted.found().toString());
+        assertEquals(List.of("drain 2 20.0", "crash 3 32.9"), words, fitted.found().toString());
         assertEquals(5, fitted.mishaps().get(0).forS().value(), 1e-6);
         var honour = figure(fitted, "clients", "honour");
         assertEquals("1.0 30", honour.value() + " " + honour.samples());
--- a/lab/src/test/java/ryemast/lab/fit/MadeUp.java
+++ b/lab/src/test/java/ryemast/lab/fit/MadeUp.java
@@ -132,7 +132,7 @@
             long over = BEGAN + Math.round(end);
             to.ended(number, 0, cut ? Outcome.TIMED_OUT : error ? Outcome.ERROR : Outcome.SUCCESS, over);
             to.answered(number, cut || error ? Answer.FAILED : Answer.SERVED, 0, over);
-            if (number % 500 == 0) {
+            if (number % 40 == 0) {
                 to.drain();
             }
         }
--- a/lab/src/test/java/ryemast/lab/scenario/ScenarioChecksTest.java
+++ b/lab/src/test/java/ryemast/lab/scenario/ScenarioChecksTest.java
@@ -43,7 +43,7 @@
         "[[kind]]\\nname = 'a b' | 5: kind[1].name: is \"a b\"; expected up to 40 letters, digits, dots, dashes "
                 + "or underscores, a letter or digit first",
         "[load]\\nrate_per_s = 5\\nconnections = 2 | 6: load.connections: rate_per_s is given already; expected "
-                + "one of rate_per_s, of_capacity and connections",
+                + "one of rate_per_s, of_capacity, connections and replay",
         "[load]\\nconnections = 2\\nswing = 0 | 6: load.swing: a closed loop has no rate of its own; expected "
                 + "no such key beside connections",
         "[load]\\nrate_per_s = 'x' | 5: load.rate_per_s: is the text \"x\"; expected a number from 0.001 to 1000000",
@@ -73,7 +73,7 @@
                 + "slow, kept-dropped, heavy only",
         "[[fault]]\\nkind = 'crash'\\nboxes = 4 | 6: fault[0].boxes: is 4; expected at most the 3 that there are",
         "[[fault]]\\nkind = 'crash'\\nboxes = 1\\nall = true | 7: fault[0].all: boxes is given already; "
-                + "expected one of boxes, share and all",
+                + "expected one of boxes, share, all and box",
         "[[fault]]\\nkind = 'crash'\\nof_kind = 'b' | 6: fault[0].of_kind: is the text \"b\"; expected \"a\", or an array "
                 + "of such",
         "[[fault]]\\nkind = 'crash'\\nin_zone = ['room-1', 'room-1'] | 6: fault[0].in_zone: is a list; expected "
