Compare two choices on the same draws, with a page of plots

Before a setting or a version changes, operators want to know what it would do and how sure that is. lab compare runs policies, settings, operator files and other versions' jars on common random numbers, stops when settled by a group-sequential rule, and writes JSON and one self-contained page.

--- a/lab/src/main/java/ryemast/lab/books/ServiceMeasure.java
+++ b/lab/src/main/java/ryemast/lab/books/ServiceMeasure.java
@@ -66,6 +66,31 @@
                 asked / SECOND, inTime / SECOND);
     }
 
+    /**
+     * Worth answered in time over worth asked for, by when jobs were due, in stretches of so many microseconds
+     * from the first job on; NaN where nothing was asked.
+     */
+    public static double[] overTime(Scenario scenario, History history, long width) {
+        List<Weighed> jobs = weigh(scenario, history);
+        if (jobs.isEmpty()) {
+            return new double[0];
+        }
+        long begin = jobs.get(0).askedAt();
+        int stretches = (int) ((jobs.get(jobs.size() - 1).askedAt() - begin) / width) + 1;
+        double[] asked = new double[stretches];
+        double[] earned = new double[stretches];
+        for (Weighed job : jobs) {
+            int at = (int) ((job.askedAt() - begin) / width);
+            asked[at] += job.worth();
+            earned[at] += job.earned();
+        }
+        double[] shares = new double[stretches];
+        for (int i = 0; i < stretches; i++) {
+            shares[i] = asked[i] > 0 ? earned[i] / asked[i] : Double.NaN;
+        }
+        return shares;
+    }
+
     /** All jobs in the order in which they were due. */
     static List<Weighed> weigh(Scenario scenario, History history) {
         List<JobStory> inOrder = new ArrayList<>(history.jobs());
--- a/lab/src/main/java/ryemast/lab/cli/LabCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/LabCommand.java
@@ -5,6 +5,6 @@
 /** {@code lab}: emulated sites to try, measure and judge a dispatcher on; its subcommands do the work. */
 @Command(name = "lab", description = "Runs a dispatcher on emulated sites, and measures and judges it.",
         subcommands = {EmulateCommand.class, LoadCommand.class, GrowthCommand.class, FailuresCommand.class,
-            FitCommand.class, SimulateCommand.class, PoliciesCommand.class, TheoryCommand.class})
+            FitCommand.class, CompareCommand.class, SimulateCommand.class, PoliciesCommand.class, TheoryCommand.class})
 public final class LabCommand {
 }
--- a/lab/src/main/java/ryemast/lab/model/Simulated.java
+++ b/lab/src/main/java/ryemast/lab/model/Simulated.java
@@ -34,7 +34,7 @@
     }
 
     /** One run. */
-    static JsonObject row(Scenario scenario, RunResult result, ModelSite.Ending ending, long events) {
+    public static JsonObject row(Scenario scenario, RunResult result, ModelSite.Ending ending, long events) {
         var all = result.json();
         var row = new JsonObject();
         KEPT.forEach(key -> row.add(key, all.get(key)));
--- a/lab/src/main/java/ryemast/lab/sockets/DispatcherSettings.java
+++ b/lab/src/main/java/ryemast/lab/sockets/DispatcherSettings.java
@@ -43,7 +43,7 @@
     }
 
     /** The object that the simulator's first message would hand an instance. */
-    JsonObject settings(int dispatcher) {
+    public JsonObject settings(int dispatcher) {
         var all = new JsonObject();
         all.add("allowed", allowed());
         all.add("areas", texts(scenario.zones()));
