--- a/lab/src/main/java/ryemast/lab/compare/Compared.java
+++ b/lab/src/main/java/ryemast/lab/compare/Compared.java
@@ -86,7 +86,7 @@
         json.addProperty("low", known(paired.low()));
         json.addProperty("high", known(paired.high()));
         json.add("t_95", pair(paired.tLow(), paired.tHigh()));
-        json.add("bca_95", pair(paired.bcaLow(), paired.bcaHigh()));
+        json.add("bootstrap_95", pair(paired.bootLow(), paired.bootHigh()));
         json.addProperty("deviation", known(paired.deviation()));
         json.addProperty("runs", paired.runs());
         json.addProperty("chance_a_better", known(metric.better(paired)));
--- a/lab/src/main/java/ryemast/lab/report/Assumptions.java
+++ b/lab/src/main/java/ryemast/lab/report/Assumptions.java
@@ -93,7 +93,7 @@
     }
 
     private List<String> method() {
-        return List.of("The difference is taken run by run; its intervals are Student's t and the BCa bootstrap, the "
+        return List.of("The difference is taken run by run; its intervals are Student's t and the studentized bootstrap, the "
                 + "wider end of the two on each side",
                 "Looked at " + compared.done().look() + " of up to " + compared.done().looks() + " times; the answer "
                 + "above is by an interval that allows for that (group-sequential, error spent in proportion to runs), "
