--- a/app/src/main/java/ryemast/Recording.java
+++ b/app/src/main/java/ryemast/Recording.java
@@ -9,7 +9,9 @@
 import ryemast.core.Note;
 import ryemast.record.Recorder;
 
-/** Puts a recorder beside the exchange; loaded where the operator wants one, as a start should pay nothing. */
+/**
+ * Puts a recorder beside the exchange; loaded where the operator wants one, as a start should pay nothing.
+ */
 final class Recording {
 
     private static final Logger LOG = Logger.getLogger(Recording.class.getName());
@@ -33,7 +35,9 @@
         return version == null ? "" : version;
     }
 
-    /** As the platform gave them: a reader needs names, aims and limits, of which the module keeps but some. */
+    /**
+     * As the platform gave them: a reader needs names, aims and limits, of which the module keeps but some.
+     */
     private static String settings() {
         try {
             var settings = Config.json(System.getenv()).get("settings");
--- a/app/src/main/java/ryemast/record/Encoder.java
+++ b/app/src/main/java/ryemast/record/Encoder.java
@@ -22,8 +22,8 @@
 
 /**
  * Turns what happened into the content of frames. Names leave it only as the first eight bytes of their
- * HMAC-SHA-256 (RFC 2104) under a key made here and kept nowhere else, so that nobody can test a name against a
- * recording, not even with the recording's own program.
+ * HMAC-SHA-256 (RFC 2104) under a key made here and kept nowhere else, so that nobody can test a name against
+ * a recording, not even with the recording's own program.
  */
 final class Encoder {
 
--- a/app/src/main/java/ryemast/record/Entry.java
+++ b/app/src/main/java/ryemast/record/Entry.java
@@ -7,9 +7,9 @@
 import ryemast.core.Observer.Answer;
 
 /**
- * One thing that a recording tells. Jobs go by a number that the dispatcher gave them, workers by the order in
- * which the recording first names them; what they are called is told once, as a keyed hash whose key nobody
- * has. Times are microseconds of Unix time on a clock that never steps back.
+ * One thing that a recording tells. Jobs go by a number that the dispatcher gave them, workers by the order
+ * in which the recording first names them; what they are called is told once, as a keyed hash whose key
+ * nobody has. Times are microseconds of Unix time on a clock that never steps back.
  */
 public sealed interface Entry {
 
--- a/app/src/main/java/ryemast/record/Layout.java
+++ b/app/src/main/java/ryemast/record/Layout.java
@@ -10,8 +10,8 @@
  * time in microseconds followed by records. A record is an array: the number of its {@link Kind}, the time
  * since the one before it in the frame, and its fields.
  *
- * <p>So a file that was cut anywhere is read up to its last whole frame; a reader passes over fields and kinds
- * of record that it does not know. What would make an old reader go wrong raises {@link #FORMAT}.
+ * <p>So a file that was cut anywhere is read up to its last whole frame; a reader passes over fields and
+ * kinds of record that it does not know. What would make an old reader go wrong raises {@link #FORMAT}.
  */
 final class Layout {
 
--- a/app/src/main/java/ryemast/record/Parts.java
+++ b/app/src/main/java/ryemast/record/Parts.java
@@ -12,8 +12,9 @@
 import java.util.Locale;
 
 /**
- * The files of one recording: {@code NAME-TIME-ID-PART.rec}, a new one each time that one is full, and the oldest
- * of this dispatcher's taken away where all together would be too large, those of earlier starts among them.
+ * The files of one recording: {@code NAME-TIME-ID-PART.rec}, a new one each time that one is full, and the
+ * oldest of this dispatcher's taken away where all together would be too large, those of earlier starts among
+ * them.
  */
 final class Parts {
 
@@ -24,7 +25,8 @@
     interface Disk {
         OutputStream open(Path file) throws IOException;
 
-        Disk REAL = file -> Files.newOutputStream(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        Disk REAL = file -> Files.newOutputStream(file, StandardOpenOption.CREATE_NEW,
+                StandardOpenOption.WRITE);
     }
 
     private final Disk disk;
@@ -96,7 +98,8 @@
     private void makeRoom() throws IOException {
         List<Path> own;
         try (var all = Files.list(folder)) {
-            own = all.filter(each -> isOwn(each.getFileName().toString()) && !each.equals(file)).sorted().toList();
+            own = all.filter(each -> isOwn(each.getFileName().toString()) && !each.equals(file)).sorted()
+                    .toList();
         }
         long kept = partBytes;
         for (int i = own.size() - 1; i >= 0; i--) {
--- a/app/src/main/java/ryemast/record/Recorder.java
+++ b/app/src/main/java/ryemast/record/Recorder.java
@@ -20,8 +20,8 @@
 
 /**
  * Records what an exchange does, without ever making it wait: the loop fills a place of a {@link Ring}, some
- * tens of nanoseconds, and a thread of its own empties the ring ten times a second onto the disk. What finds no
- * place is counted and the count recorded. Whatever goes wrong with the disk ends the recording, with one
+ * tens of nanoseconds, and a thread of its own empties the ring ten times a second onto the disk. What finds
+ * no place is counted and the count recorded. Whatever goes wrong with the disk ends the recording, with one
  * warning; the dispatcher goes on. It holds no job's body and no more memory than its ring and one frame.
  *
  * <p>The writer is not woken by the loop, as that would cost each turn a system call; so the last tenth of a
--- a/app/src/main/java/ryemast/record/RecordingReader.java
+++ b/app/src/main/java/ryemast/record/RecordingReader.java
@@ -21,8 +21,8 @@
 import ryemast.core.Observer.Answer;
 
 /**
- * Reads a recording back, entry by entry in the order in which they were written; it holds one frame at a time.
- * What was cut short or damaged is read up to there and said, not thrown: {@link #warnings}.
+ * Reads a recording back, entry by entry in the order in which they were written; it holds one frame at a
+ * time. What was cut short or damaged is read up to there and said, not thrown: {@link #warnings}.
  */
 public final class RecordingReader {
 
@@ -41,7 +41,8 @@
     /**
      * Reads a file, or all files of the recording in a folder that was begun last.
      *
-     * @throws IOException with a message for people: it can't be read, or is no recording of a format known here
+     * @throws IOException with a message for people: it can't be read, or is no recording of a format known
+     * here
      */
     public static RecordingReader read(Path fileOrFolder, Consumer<? super Entry> to) throws IOException {
         var reader = new RecordingReader(to);
@@ -50,10 +51,12 @@
             reader.file(file);
         }
         if (reader.unknown > 0) {
-            reader.warnings.add(reader.unknown + " records are of kinds that a later program writes; left out");
+            reader.warnings.add(reader.unknown
+                    + " records are of kinds that a later program writes; left out");
         }
         if (!reader.stopped) {
-            reader.warnings.add("the recording was not ended in order: what was still open then is known in part");
+            reader.warnings.add("the recording was not ended in order: what was still open then is known in "
+                    + "part");
         }
         return reader;
     }
@@ -69,7 +72,8 @@
 
     private List<Path> files(Path given) throws IOException {
         if (!Files.exists(given)) {
-            throw new IOException(given + ": is not there; expected a recording's folder or one of its files");
+            throw new IOException(given + ": is not there; expected a recording's folder or one of its "
+                    + "files");
         }
         if (!Files.isDirectory(given)) {
             return List.of(given);
@@ -77,7 +81,8 @@
         // By what stands before the part's number: one recording.
         var byRecording = new TreeMap<String, List<Path>>();
         try (var all = Files.list(given)) {
-            all.filter(each -> each.getFileName().toString().endsWith(Layout.ENDING)).sorted().forEach(each -> {
+            all.filter(each -> each.getFileName().toString().endsWith(Layout.ENDING)).sorted()
+                    .forEach(each -> {
                 var name = each.getFileName().toString();
                 int dash = name.lastIndexOf('-');
                 byRecording.computeIfAbsent(dash < 0 ? name : name.substring(0, dash), n -> new ArrayList<>())
@@ -222,7 +227,8 @@
     private Entry.Header header(long at, CBORParser in, Path file) throws IOException {
         int format = integer(in);
         if (format > Layout.FORMAT) {
-            throw new IOException(file + ": is of format " + format + ", written by a later program; this one "
+            throw new IOException(file + ": is of format " + format
+                    + ", written by a later program; this one "
                     + "reads up to " + Layout.FORMAT);
         }
         var header = new Entry.Header(at, format, text(in), integer(in), text(in), text(in), text(in));
--- a/app/src/main/java/ryemast/record/Ring.java
+++ b/app/src/main/java/ryemast/record/Ring.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Carries what happened from the loop to the writer: so many places made beforehand, used in turn. Neither side
- * ever waits for the other or allocates; a place that is not free is a thing not recorded.
+ * Carries what happened from the loop to the writer: so many places made beforehand, used in turn. Neither
+ * side ever waits for the other or allocates; a place that is not free is a thing not recorded.
  *
  * <p>One producer, one consumer (Lamport, "Specifying Concurrent Program Modules", 1983): each of the two
  * counters is written by one thread only, and what a place holds is published by the release of its counter.
--- a/app/src/test/java/ryemast/record/RecorderTest.java
+++ b/app/src/test/java/ryemast/record/RecorderTest.java
@@ -86,7 +86,8 @@
         assertEquals(WorkerState.DRAINING, list.workers().get(1).state());
         var taken = (Entry.Taken) entries.get(2);
         assertEquals(new Entry.Taken(BEGAN + 100, 1, taken.nameHash(), 1, 2, 1, 0, 5_000, 480_000), taken);
-        assertEquals(List.of(new Entry.Sent(BEGAN + 110, 1, 0, 0, 479_990), new Entry.Accepted(BEGAN + 120, 1, 0),
+        assertEquals(List.of(new Entry.Sent(BEGAN + 110, 1, 0, 0, 479_990),
+                new Entry.Accepted(BEGAN + 120, 1, 0),
                 new Entry.Started(BEGAN + 130, 1, 0), new Entry.Progressed(BEGAN + 140, 1, 0, 0.25),
                 new Entry.Ended(BEGAN + 150, 1, 0, Outcome.SUCCESS),
                 new Entry.Answered(BEGAN + 150, 1, Answer.SERVED, 0)), entries.subList(3, 9));
@@ -157,7 +158,8 @@
         Files.write(only(), whole);
         var warnings = new ArrayList<String>();
         assertEquals(1, read(warnings).stream().filter(each -> each instanceof Entry.Answered).count());
-        assertTrue(warnings.get(0).endsWith("damaged at byte " + first + "; read up to there"), warnings.get(0));
+        assertTrue(warnings.get(0).endsWith("damaged at byte " + first + "; read up to there"),
+                warnings.get(0));
     }
 
     @Test
@@ -221,7 +223,8 @@
     void filesGrowSoFarAndTheOldestGo() throws IOException {
         var recorder = recorder(64, 1_000, 4_000, Parts.Disk.REAL);
         recorder.listed(ListKind.COMPLETE, List.of(ONE, TWO), BEGAN);
-        recorder.listed(ListKind.CHANGES, List.of(new WorkerInfo("s-two", WorkerState.GONE, 1, 0, 3, 4, 0)), BEGAN);
+        recorder.listed(ListKind.CHANGES, List.of(new WorkerInfo("s-two", WorkerState.GONE, 1, 0, 3, 4, 0)),
+                BEGAN);
         for (int i = 1; i <= 200; i++) {
             job(recorder, i, BEGAN + i * 1_000);
             recorder.drain();
@@ -237,7 +240,8 @@
         assertTrue(total <= 4_200, total + " bytes");
         var entries = read(new ArrayList<>());
         assertTrue(((Entry.Header) entries.get(0)).part() > 10);
-        assertEquals(List.of(0), ((Entry.Listed) entries.get(1)).workers().stream().map(Entry.Worker::number).toList());
+        assertEquals(List.of(0), ((Entry.Listed) entries.get(1)).workers().stream().map(Entry.Worker::number)
+                .toList());
         assertEquals(200, entries.stream().filter(each -> each instanceof Entry.Answered)
                 .mapToLong(each -> ((Entry.Answered) each).job()).max().orElse(0));
     }
--- a/lab/src/main/java/ryemast/lab/books/ServiceMeasure.java
+++ b/lab/src/main/java/ryemast/lab/books/ServiceMeasure.java
@@ -67,8 +67,8 @@
     }
 
     /**
-     * Worth answered in time over worth asked for, by when jobs were due, in stretches of so many microseconds
-     * from the first job on; NaN where nothing was asked.
+     * Worth answered in time over worth asked for, by when jobs were due, in stretches of so many
+     * microseconds from the first job on; NaN where nothing was asked.
      */
     public static double[] overTime(Scenario scenario, History history, long width) {
         List<Weighed> jobs = weigh(scenario, history);
--- a/lab/src/main/java/ryemast/lab/cli/CompareCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/CompareCommand.java
@@ -24,12 +24,15 @@
 import ryemast.lab.scenario.ScenarioFile;
 
 /** {@code lab compare}: two choices on the same draws. */
-@Command(name = "compare", description = {"Compares two choices on the same simulated sites, jobs and faults.",
+@Command(name = "compare", description =
+        {"Compares two choices on the same simulated sites, jobs and faults.",
     "A choice is a policy's name (as in lab policies), settings to change (allowed.max_attempts=3,...), an",
     "operator file (*.toml), or another version of the program (*.jar); module@N is the module with another",
-    "seed, a change of nothing. Stops as soon as it is settled, with false alarms in 5%% of comparisons at most.",
+    "seed, a change of nothing. Stops as soon as it is settled, with false alarms in 5%% of comparisons at "
+    + "most.",
     "Ends with 1 if it was stopped before its end; a broken rule of either is told in its result."},
-        footer = {"", "Examples:", "  lab compare mixed-fleet --a module --b peak-ewma --runs 64 --report out",
+        footer = {"", "Examples:", "  lab compare mixed-fleet --a module --b peak-ewma --runs 64 --report "
+        + "out",
             "  lab compare site.toml --a module --b allowed.second_copies=false --runs 200 --json out.json"})
 final class CompareCommand implements Callable<Integer> {
 
@@ -68,7 +71,8 @@
         "It is kept up to date while runs go on."})
     private Path json;
 
-    @Option(names = "--report", paramLabel = "DIR", description = "Where a page with plots goes: DIR/index.html.")
+    @Option(names = "--report", paramLabel = "DIR", description =
+            "Where a page with plots goes: DIR/index.html.")
     private Path report;
 
     @Option(names = "--resume", description = "Takes the runs that the file of --json holds already as done.")
--- a/lab/src/main/java/ryemast/lab/cli/FitCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/FitCommand.java
@@ -21,14 +21,17 @@
 
     private static final String ENDING = ".toml";
 
-    @Parameters(paramLabel = "RECORDING", arity = "1..*", description = "A recording's folder or file; those of "
+    @Parameters(paramLabel = "RECORDING", arity = "1..*", description =
+            "A recording's folder or file; those of "
             + "several dispatchers of one site are fitted together.")
     private List<Path> recordings;
 
-    @Option(names = "--out", paramLabel = "SCENARIO", required = true, description = "The scenario to write, *.toml.")
+    @Option(names = "--out", paramLabel = "SCENARIO", required = true,
+            description = "The scenario to write, *.toml.")
     private Path out;
 
-    @Option(names = "--replay", description = "Writes the very jobs beside the scenario, which plays them again.")
+    @Option(names = "--replay", description =
+            "Writes the very jobs beside the scenario, which plays them again.")
     private boolean replay;
 
     @Option(names = "--json", paramLabel = "FILE", description = "Where figures and intervals go as JSON.")
@@ -61,7 +64,8 @@
         if (replay) {
             fitted.replay().write(scenario.resolveSibling(jobs), fitted.classNames(), fitted.tenantNames());
         }
-        Files.writeString(scenario, ScenarioText.toml(fitted, recordings.stream().map(Path::toString).toList(), jobs));
+        Files.writeString(scenario, ScenarioText.toml(fitted, recordings.stream().map(Path::toString)
+                .toList(), jobs));
         file.write(ScenarioText.json(fitted));
         System.out.println(fitted.title() + " -> " + out);
         fitted.warnings().forEach(each -> System.out.println("warning: " + each));
@@ -70,7 +74,8 @@
         try {
             ScenarioFile.read(scenario);
         } catch (FaultyFileException e) {
-            System.err.println("ryemast: " + out + " needs a hand before it can be played:\n" + e.getMessage());
+            System.err.println("ryemast: " + out + " needs a hand before it can be played:\n"
+                    + e.getMessage());
             return Exit.FAILED;
         }
         return Exit.DONE;
--- a/lab/src/main/java/ryemast/lab/cli/SimulateCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/SimulateCommand.java
@@ -134,7 +134,8 @@
         int fit = Room.fitting(drawn, heap);
         if (fit == 0) {
             throw new BadCall(String.format(Locale.ROOT,
-                    "one run of %s takes about %,d MB, and there are %,d: give more with JAVA_TOOL_OPTIONS=-Xmx, or make it shorter with --seconds",
+                    "one run of %s takes about %,d MB, and there are %,d: give more with "
+                    + "JAVA_TOOL_OPTIONS=-Xmx, or make it shorter with --seconds",
                     drawn.name(), Room.need(drawn) >> 20, heap >> 20));
         }
         return Math.min(wanted, fit);
--- a/lab/src/main/java/ryemast/lab/compare/Arm.java
+++ b/lab/src/main/java/ryemast/lab/compare/Arm.java
@@ -28,8 +28,8 @@
 import ryemast.toml.Nearest;
 
 /**
- * One of the two choices: a policy by its name, the settings of the decision module with some changed, an operator
- * file, or another version of the program as a jar. Immutable; each run opens it anew.
+ * One of the two choices: a policy by its name, the settings of the decision module with some changed, an
+ * operator file, or another version of the program as a jar. Immutable; each run opens it anew.
  *
  * @param spec   as the command line has it
  * @param words  for people
@@ -58,7 +58,8 @@
         }
     }
 
-    private static final Pattern CHANGE = Pattern.compile("([a-z_]+(?:\\[[0-9]+])?(?:\\.[a-z_]+(?:\\[[0-9]+])?)*)=(.+)");
+    private static final Pattern CHANGE =
+            Pattern.compile("([a-z_]+(?:\\[[0-9]+])?(?:\\.[a-z_]+(?:\\[[0-9]+])?)*)=(.+)");
     private static final Pattern STEP = Pattern.compile("([a-z_]+)(?:\\[([0-9]+)])?");
     private static final String RESEEDED = "module@";
 
@@ -81,8 +82,10 @@
             return changed(spec);
         }
         var near = Nearest.to(spec, Policies.names());
-        throw new BadArm("there is no policy \"" + spec + "\"" + (near == null ? "" : " (" + near + " perhaps)")
-                + "; expected one of " + String.join(", ", Policies.names()) + ", key=value of the settings, an "
+        throw new BadArm("there is no policy \"" + spec + "\""
+                + (near == null ? "" : " (" + near + " perhaps)")
+                + "; expected one of " + String.join(", ", Policies.names())
+                + ", key=value of the settings, an "
                 + "operator file that ends with .toml, or a version that ends with .jar");
     }
 
@@ -129,13 +132,16 @@
     private record Change(String path, JsonPrimitive value) {
     }
 
-    /** The platform's settings with some figures changed, by their paths as in {@code allowed.max_attempts=3}. */
+    /**
+     * The platform's settings with some figures changed, by their paths as in {@code allowed.max_attempts=3}.
+     */
     private static Arm changed(String spec) throws BadArm {
         var changes = new ArrayList<Change>();
         for (var each : spec.split(",")) {
             var match = CHANGE.matcher(each.strip());
             if (!match.matches()) {
-                throw new BadArm(each + ": expected a settings key and its value, as in allowed.max_attempts=3");
+                throw new BadArm(each + ": expected a settings key and its value, as in "
+                        + "allowed.max_attempts=3");
             }
             changes.add(new Change(match.group(1), value(match.group(2))));
         }
@@ -176,7 +182,8 @@
             step.matches();
             var found = at.get(step.group(1));
             int index = step.group(2) == null ? -1 : Integer.parseInt(step.group(2));
-            if (found == null || index >= 0 && (!found.isJsonArray() || index >= found.getAsJsonArray().size())) {
+            if (found == null || index >= 0 && (!found.isJsonArray() || index >= found.getAsJsonArray()
+                    .size())) {
                 throw new IllegalArgumentException(change.path + ": the settings have no " + steps[i]
                         + (i == 0 ? "; they have " + String.join(", ", settings.keySet()) : ""));
             }
--- a/lab/src/main/java/ryemast/lab/compare/CompareWords.java
+++ b/lab/src/main/java/ryemast/lab/compare/CompareWords.java
@@ -20,15 +20,18 @@
         if (done.interrupted()) {
             return "Stopped after " + runs + " runs of each: nothing is settled.";
         }
-        var sure = String.format(Locale.ROOT, "the difference A - B lies between %+.4f and %+.4f", verdict.low(),
+        var sure = String.format(Locale.ROOT, "the difference A - B lies between %+.4f and %+.4f",
+                verdict.low(),
                 verdict.high());
         return switch (verdict.word()) {
             case A_IS_BETTER -> "A is better: after " + runs + " runs of each, " + sure + ".";
             case B_IS_BETTER -> "B is better: after " + runs + " runs of each, " + sure + ".";
             case ALIKE -> "They are alike: after " + runs + " runs of each, " + sure + ", which is within "
                     + compared.plan().margin() + ".";
-            case UNDECIDED -> "Undecided after " + runs + " runs of each: " + sure + (service.runs() < 2 ? "." : ", "
-                    + "and A is better with a chance of " + percent(service.chance()) + ". " + (verdict.more() < 0
+            case UNDECIDED -> "Undecided after " + runs + " runs of each: " + sure
+                    + (service.runs() < 2 ? "." : ", "
+                    + "and A is better with a chance of " + percent(service.chance()) + ". "
+                    + (verdict.more() < 0
                     ? "No number of runs below a million would settle it." : "About " + verdict.more()
                     + " more runs would probably settle it."));
         };
@@ -64,7 +67,8 @@
     private static String line(Compared compared, Metric metric, Paired paired) {
         double a = Compared.spread(compared.paired(true), metric).mean();
         double b = Compared.spread(compared.paired(false), metric).mean();
-        var difference = paired.runs() < 2 ? "" : figure(paired.mean(), true) + " (" + figure(paired.low(), true)
+        var difference = paired.runs() < 2 ? "" : figure(paired.mean(), true) + " ("
+                + figure(paired.low(), true)
                 + " to " + figure(paired.high(), true) + ")";
         return String.format(Locale.ROOT, "  %-33s %10s %10s   %-33s %s", metric.words(), figure(a, false),
                 figure(b, false), difference, paired.runs() < 2 || paired.deviation() == 0 ? ""
@@ -75,7 +79,8 @@
         if (Double.isNaN(value)) {
             return "-";
         }
-        var format = (signed ? "%+" : "%") + (Math.abs(value) >= 100 ? ",.0f" : Math.abs(value) >= 10 ? ".1f" : ".4f");
+        var format = (signed ? "%+" : "%") + (Math.abs(value) >= 100 ? ",.0f" : Math.abs(value) >= 10 ? ".1f"
+                : ".4f");
         return String.format(Locale.ROOT, format, value);
     }
 }
--- a/lab/src/main/java/ryemast/lab/compare/Compared.java
+++ b/lab/src/main/java/ryemast/lab/compare/Compared.java
@@ -14,8 +14,8 @@
 import ryemast.lab.model.Spread;
 
 /**
- * A comparison as it is told: in JSON, whose names tools rely on, in the summary and in the report. Made of the
- * rows alone; nothing in it tells of the machine or the time that it took.
+ * A comparison as it is told: in JSON, whose names tools rely on, in the summary and in the report. Made of
+ * the rows alone; nothing in it tells of the machine or the time that it took.
  */
 public record Compared(String scenario, String title, Comparison.Plan plan, Comparison.Done done) {
 
@@ -36,7 +36,8 @@
     }
 
     public static Spread spread(Collection<JsonObject> rows, Metric metric) {
-        return Simulated.spread(rows.stream().filter(row -> metric.of().apply(row) != null).toList(), metric.of());
+        return Simulated.spread(rows.stream().filter(row -> metric.of().apply(row) != null).toList(),
+                metric.of());
     }
 
     public JsonObject json() {
@@ -122,7 +123,8 @@
     /** A comparison of which only some runs are done, to be kept. */
     public static JsonObject kept(String scenario, String title, Comparison.Plan plan, Rows rows) {
         var copy = new Rows(new TreeMap<>(rows.a()), new TreeMap<>(rows.b()));
-        return new Compared(scenario, title, plan, new Comparison.Done(copy, new Verdict(Verdict.Word.UNDECIDED,
+        return new Compared(scenario, title, plan, new Comparison.Done(copy,
+                new Verdict(Verdict.Word.UNDECIDED,
                 Double.NaN, Double.NaN, -1), 0, 0, 0, true)).json();
     }
 }
--- a/lab/src/main/java/ryemast/lab/compare/Comparison.java
+++ b/lab/src/main/java/ryemast/lab/compare/Comparison.java
@@ -18,9 +18,9 @@
 
 /**
  * Runs two arms on the same seeds, look by look, until it is settled which is better, all runs are done, or
- * somebody stops it. A seed draws one site, one set of jobs and all other chance for both arms, so that what is
- * common to both falls out of their difference (common random numbers; Law, "Simulation Modeling and Analysis",
- * 11.2). Results depend on seeds alone, not on threads or on the order of work.
+ * somebody stops it. A seed draws one site, one set of jobs and all other chance for both arms, so that what
+ * is common to both falls out of their difference (common random numbers; Law, "Simulation Modeling and
+ * Analysis", 11.2). Results depend on seeds alone, not on threads or on the order of work.
  */
 public final class Comparison {
 
@@ -103,7 +103,8 @@
                 var verdict = Verdict.of(service, whole ? looks.quantile(look, count)
                         : looks.quantile(look, Math.max(2, service.runs())), plan.margin);
                 if (!whole || verdict.settled() || look + 1 == looks.runs().size()) {
-                    return new Done(taken, verdict, look + 1, looks.runs().size(), looks.nominal(look), !whole);
+                    return new Done(taken, verdict, look + 1, looks.runs().size(), looks.nominal(look),
+                            !whole);
                 }
                 look++;
             }
@@ -132,7 +133,8 @@
         var futures = new ArrayList<Future<?>>();
         for (long seed = plan.first; seed < plan.first + count; seed++) {
             long one = seed;
-            // Both arms of a seed one after the other, so that what is done when somebody stops is mostly pairs.
+            // Both arms of a seed one after the other, so that what is done when somebody stops is mostly
+            // pairs.
             futures.add(pool.submit(() -> {
                 one(one, plan.a, rows.a());
                 one(one, plan.b, rows.b());
@@ -149,7 +151,8 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (ExecutionException e) {
-            throw e.getCause() instanceof RuntimeException cause ? cause : new IllegalStateException(e.getCause());
+            throw e.getCause() instanceof RuntimeException cause ? cause
+                    : new IllegalStateException(e.getCause());
         }
     }
 
--- a/lab/src/main/java/ryemast/lab/compare/JarModule.java
+++ b/lab/src/main/java/ryemast/lab/compare/JarModule.java
@@ -16,12 +16,13 @@
 import pipitladder.Dispatcher;
 
 /**
- * The decision module of another version of the program, spoken to on the simulator's wire: one process for a run,
- * one instance in it for each life of a dispatcher, one batch for each event.
+ * The decision module of another version of the program, spoken to on the simulator's wire: one process for a
+ * run, one instance in it for each life of a dispatcher, one batch for each event.
  *
  * <p>The wire and not its classes: versions differ in the module's interface, in its records and in the names
- * of packages, and a class loader would need a bridge for each; every version speaks the wire, as the platform
- * demands it. An outcome that the wire has no word for (a request that is at fault itself) is told as an error.
+ * of packages, and a class loader would need a bridge for each; every version speaks the wire, as the
+ * platform demands it. An outcome that the wire has no word for (a request that is at fault itself) is told
+ * as an error.
  */
 final class JarModule implements Dispatcher {
 
@@ -38,7 +39,8 @@
 
         Process(Path jar) {
             try {
-                process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                        .toString(),
                         "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Xmx256m", "-jar",
                         jar.toString(), COMMAND).redirectError(ProcessBuilder.Redirect.DISCARD).start();
             } catch (IOException e) {
--- a/lab/src/main/java/ryemast/lab/compare/Looks.java
+++ b/lab/src/main/java/ryemast/lab/compare/Looks.java
@@ -7,14 +7,15 @@
 import org.apache.commons.statistics.distribution.TDistribution;
 
 /**
- * When to look at a comparison, and how sure each look must be, so that all looks together raise a false alarm in
- * 5% at most.
+ * When to look at a comparison, and how sure each look must be, so that all looks together raise a false
+ * alarm in 5% at most.
  *
  * <p>A group-sequential design: the error allowed is spent as runs come in, in proportion to them (Lan and
- * DeMets, "Discrete sequential boundaries for clinical trials", Biometrika 70, 1983; the power family of Kim and
- * DeMets with exponent 1). Bounds are found by integrating the partial sums' density from look to look (Armitage,
- * McPherson and Rowe, 1969), for the normal; at each look its nominal level is used with Student's t (the
- * significance level approach of Jennison and Turnbull, chapter 11). Looks double, so that there are few of them.
+ * DeMets, "Discrete sequential boundaries for clinical trials", Biometrika 70, 1983; the power family of Kim
+ * and DeMets with exponent 1). Bounds are found by integrating the partial sums' density from look to look
+ * (Armitage, McPherson and Rowe, 1969), for the normal; at each look its nominal level is used with Student's
+ * t (the significance level approach of Jennison and Turnbull, chapter 11). Looks double, so that there are
+ * few of them.
  */
 final class Looks {
 
--- a/lab/src/main/java/ryemast/lab/compare/Metric.java
+++ b/lab/src/main/java/ryemast/lab/compare/Metric.java
@@ -30,7 +30,8 @@
     }
 
     private static Metric latency(String key, String words) {
-        return new Metric("latency_ms_" + key, words, false, row -> row.getAsJsonObject("latency_ms").get(key));
+        return new Metric("latency_ms_" + key, words, false, row -> row.getAsJsonObject("latency_ms")
+                .get(key));
     }
 
     private static Metric share(String key, String words) {
--- a/lab/src/main/java/ryemast/lab/compare/Paired.java
+++ b/lab/src/main/java/ryemast/lab/compare/Paired.java
@@ -8,9 +8,9 @@
  * Differences of the two arms, A less B, run by run on the same draws: mean and 95% intervals; immutable.
  *
  * <p>Two intervals: Student's t, and the studentized bootstrap (Efron and Tibshirani, "An Introduction to the
- * Bootstrap", 12.5), which follows skewed differences better than BCa does with few runs: where costs have heavy
- * tails, one side of the others is too short. Of the two the wider end on each side is given as {@code low} and
- * {@code high}.
+ * Bootstrap", 12.5), which follows skewed differences better than BCa does with few runs: where costs have
+ * heavy tails, one side of the others is too short. Of the two the wider end on each side is given as
+ * {@code low} and {@code high}.
  *
  * @param chance  that A's mean is higher, given the runs (Student's t, a flat prior)
  * @param wins    the part of the runs in which A's figure is higher; ties count half
@@ -26,13 +26,15 @@
     public static Paired of(double[] differences) {
         int n = differences.length;
         if (n == 0) {
-            return new Paired(0, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN,
+            return new Paired(0, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN,
+                    Double.NaN,
                     Double.NaN);
         }
         double mean = Arrays.stream(differences).average().orElse(0);
         double wins = Arrays.stream(differences).map(d -> d > 0 ? 1 : d < 0 ? 0 : 0.5).sum() / n;
         if (n < 2) {
-            return new Paired(n, mean, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, wins);
+            return new Paired(n, mean, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN, Double.NaN,
+                    wins);
         }
         double squares = Arrays.stream(differences).map(d -> (d - mean) * (d - mean)).sum();
         double deviation = Math.sqrt(squares / (n - 1));
--- a/lab/src/main/java/ryemast/lab/compare/Verdict.java
+++ b/lab/src/main/java/ryemast/lab/compare/Verdict.java
@@ -3,7 +3,8 @@
 /**
  * What can be said of the service of the two at a look.
  *
- * @param low, high  the interval that holds at this look though there are others (repeated confidence interval)
+ * @param low, high  the interval that holds at this look though there are others (repeated confidence
+ * interval)
  * @param more       how many more runs would probably settle it; 0 if it is, -1: no number below a million
  */
 public record Verdict(Word word, double low, double high, long more) {
@@ -42,7 +43,8 @@
     private static long more(Paired service, double margin) {
         double mean = Math.abs(service.mean());
         double other = needed(service.deviation(), mean, NEEDED);
-        double alike = mean < margin ? needed(service.deviation(), margin - mean, WITHIN) : Double.POSITIVE_INFINITY;
+        double alike = mean < margin ? needed(service.deviation(), margin - mean, WITHIN)
+                : Double.POSITIVE_INFINITY;
         double all = Math.min(other, alike);
         return all > MOST ? -1 : Math.max(1, (long) Math.ceil(all) - service.runs());
     }
--- a/lab/src/main/java/ryemast/lab/fit/Collector.java
+++ b/lab/src/main/java/ryemast/lab/fit/Collector.java
@@ -22,9 +22,9 @@
 /**
  * Puts the entries of recordings together.
  *
- * <p>Several dispatchers of one site may be read together. What they call their boxes can't be compared, as each
- * hashes names under a key of its own; boxes are matched by their place in the first whole list, which discovery
- * gives to all alike, and recordings whose lists differ are refused.
+ * <p>Several dispatchers of one site may be read together. What they call their boxes can't be compared, as
+ * each hashes names under a key of its own; boxes are matched by their place in the first whole list, which
+ * discovery gives to all alike, and recordings whose lists differ are refused.
  */
 final class Collector {
 
@@ -215,11 +215,13 @@
         void finish(Path recording) throws IOException {
             dropped += lost;
             if (lost > 0) {
-                warnings.add(recording.getFileName() + ": " + lost + " records were dropped, as the disk could "
+                warnings.add(recording.getFileName() + ": " + lost
+                        + " records were dropped, as the disk could "
                         + "not keep up; jobs and attempts that miss one are left out where it matters");
             }
             if (orphans > 0) {
-                warnings.add(recording.getFileName() + ": " + orphans + " records are of jobs whose beginning "
+                warnings.add(recording.getFileName() + ": " + orphans
+                        + " records are of jobs whose beginning "
                         + "is not here (older files are gone, or records were dropped); left out");
             }
             var own = new HashMap<Integer, Box>();
@@ -248,7 +250,8 @@
 
         private void match(Path recording, Map<Integer, Box> own) throws IOException {
             if (firstList == null || firstList.size() > boxes.size()) {
-                throw new IOException(recording + ": lists other boxes than the recording before it; they can be "
+                throw new IOException(recording
+                        + ": lists other boxes than the recording before it; they can be "
                         + "read one by one only");
             }
             for (int i = 0; i < firstList.size(); i++) {
--- a/lab/src/main/java/ryemast/lab/fit/DemandTables.java
+++ b/lab/src/main/java/ryemast/lab/fit/DemandTables.java
@@ -85,13 +85,15 @@
                 works.put(i, fitted);
                 table.figure("work_ms", fitted.meanMs(), 0.001, 3_600_000);
                 table.text("spread", fitted.spread().name().toLowerCase(Locale.ROOT),
-                        fitted.cut() == 0 ? "" : fitted.cut() + " of the jobs were cut short; they count as having cost more");
+                        fitted.cut() == 0 ? "" : fitted.cut()
+                        + " of the jobs were cut short; they count as having cost more");
                 if (fitted.spread() == Spread.LOGNORMAL || fitted.spread() == Spread.PARETO) {
                     table.figure("cv", fitted.cv(), 0, 20);
                 }
                 meanWork += shares[i].value() * fitted.meanMs().value() / MS;
                 if (fitted.meanMs().high() == Double.POSITIVE_INFINITY) {
-                    untold.add("how heavy the tail of " + one.name() + " is: a mean without bound is within its interval");
+                    untold.add("how heavy the tail of " + one.name()
+                            + " is: a mean without bound is within its interval");
                 }
             } else {
                 var hints = first.stream().filter(job -> job.hint > 0 && job.jobClass == classes.indexOf(one))
@@ -113,10 +115,12 @@
     }
 
     private void slots(Table table, int jobClass) {
-        var sizes = first.stream().filter(job -> job.jobClass == jobClass).mapToDouble(job -> job.slots).sorted()
+        var sizes = first.stream().filter(job -> job.jobClass == jobClass).mapToDouble(job -> job.slots)
+                .sorted()
                 .toArray();
         if (sizes.length > 0 && Stats.median(sizes) > 1) {
-            table.number("slots", Math.rint(Stats.median(sizes)), "the middle one; a scenario's class has one size");
+            table.number("slots", Math.rint(Stats.median(sizes)),
+                    "the middle one; a scenario's class has one size");
         }
     }
 
@@ -135,8 +139,8 @@
     }
 
     /**
-     * The very jobs. What one cost is what its run took; for one that never came to its end, a cost is drawn from
-     * those of its class that were seen to cost more, or its hint taken where none was.
+     * The very jobs. What one cost is what its run took; for one that never came to its end, a cost is drawn
+     * from those of its class that were seen to cost more, or its hint taken where none was.
      */
     List<Replay.Job> replay() {
         var draw = RandomSource.XO_RO_SHI_RO_128_PP.create(1L);
@@ -161,12 +165,15 @@
             }
             if (Double.isNaN(known)) {
                 drawn++;
-                known = more(sorted.getOrDefault(job.jobClass, new double[0]), least, job.hint, draw.nextDouble());
+                known = more(sorted.getOrDefault(job.jobClass, new double[0]), least, job.hint,
+                        draw.nextDouble());
             }
-            jobs.add(new Replay.Job(job.at, job.jobClass, job.tenant, job.hint, Math.max(1, known), poisoned));
+            jobs.add(new Replay.Job(job.at, job.jobClass, job.tenant, job.hint, Math.max(1, known),
+                    poisoned));
         }
         if (drawn > 0) {
-            untold.add("in the replay, the cost of " + drawn + " jobs that were not seen to end: drawn from those of"
+            untold.add("in the replay, the cost of " + drawn
+                    + " jobs that were not seen to end: drawn from those of"
                     + " their class that cost more than was seen of them, or their hint");
         }
         return jobs;
--- a/lab/src/main/java/ryemast/lab/fit/DiscoveryTable.java
+++ b/lab/src/main/java/ryemast/lab/fit/DiscoveryTable.java
@@ -22,7 +22,8 @@
         }
         table.figure("add_s", Stats.median(late.stream().mapToDouble(Double::doubleValue).toArray(),
                 "starts that were told"), 0, 86_400);
-        table.remark("when boxes died or began to drain is not told, so that neither is how late it was told");
+        table.remark("when boxes died or began to drain is not told, so that neither is how late it was "
+                + "told");
         var weights = seen.boxes().stream().mapToDouble(box -> box.weight).distinct().count();
         var kinds = seen.boxes().stream().map(box -> box.kind).distinct().count();
         boolean rough = weights > kinds;
--- a/lab/src/main/java/ryemast/lab/fit/Expected.java
+++ b/lab/src/main/java/ryemast/lab/fit/Expected.java
@@ -13,13 +13,13 @@
 /**
  * What a job of a class and a hint is to be expected to cost, learned together with how fast boxes are.
  *
- * <p>Not simply its hint: a dispatcher sends jobs with large hints to fast boxes, and of jobs with large hints
- * more are overestimated than not (regression to the mean), so that fast boxes would look faster than they are.
- * Given class and hint, though, which box a job went to says nothing of its cost. So the logarithm of a run's
- * time is taken as a function of the hint, one for each class, less the box's speed; the two are fitted in
- * turns, each by medians, which a few wild jobs hardly move. The function is made of the medians of up to ten
- * groups of equal size, joined by lines. One constant stays open, as twice the speed is half the work; it is set
- * so that the middle hint is right.
+ * <p>Not simply its hint: a dispatcher sends jobs with large hints to fast boxes, and of jobs with large
+ * hints more are overestimated than not (regression to the mean), so that fast boxes would look faster than
+ * they are. Given class and hint, though, which box a job went to says nothing of its cost. So the logarithm
+ * of a run's time is taken as a function of the hint, one for each class, less the box's speed; the two are
+ * fitted in turns, each by medians, which a few wild jobs hardly move. The function is made of the medians of
+ * up to ten groups of equal size, joined by lines. One constant stays open, as twice the speed is half the
+ * work; it is set so that the middle hint is right.
  */
 final class Expected {
 
@@ -78,17 +78,19 @@
     }
 
     /**
-     * What all boxes' logarithms may be off together, as a standard error: the constant rests on the hints' own
-     * errors, and what is expected of a hint on about as many runs again for each half of the hints. A median has
-     * half of pi times the variance of a mean.
+     * What all boxes' logarithms may be off together, as a standard error: the constant rests on the hints'
+     * own errors, and what is expected of a hint on about as many runs again for each half of the hints. A
+     * median has half of pi times the variance of a mean.
      */
     private double commonError(List<Attempt> runs, ToDoubleFunction<Attempt> time) {
-        var left = runs.stream().mapToDouble(run -> of(run) - time.applyAsDouble(run) - speeds.get(run.box)).toArray();
+        var left = runs.stream().mapToDouble(run -> of(run) - time.applyAsDouble(run) - speeds.get(run.box))
+                .toArray();
         var hints = runs.stream().mapToDouble(run -> hint.applyAsDouble(run) - time.applyAsDouble(run)
                 - speeds.get(run.box)).toArray();
         double of = Stats.sigma(left, "").value();
         double ofHints = Stats.sigma(hints, "").value();
-        return Double.isNaN(of) ? 0 : Math.sqrt(Math.PI / 2 * (ofHints * ofHints + 2 * of * of) / runs.size());
+        return Double.isNaN(of) ? 0 : Math.sqrt(Math.PI / 2 * (ofHints * ofHints
+                + 2 * of * of) / runs.size());
     }
 
     double commonError() {
--- a/lab/src/main/java/ryemast/lab/fit/FaultTables.java
+++ b/lab/src/main/java/ryemast/lab/fit/FaultTables.java
@@ -14,7 +14,8 @@
         for (var each : mishaps.all()) {
             boolean ofJobs = each.kind().equals("heavy") || each.kind().equals("poisoned");
             if (withReplay && ofJobs) {
-                tables.add(new Table("", "fault").remark("found, and in the replayed jobs already: " + words(each)));
+                tables.add(new Table("", "fault").remark("found, and in the replayed jobs already: "
+                        + words(each)));
             } else if (each.atS().value() >= seen.length() / SECOND) {
                 tables.add(new Table("", "fault").remark("found at the recording's end: " + words(each)));
             } else {
@@ -26,9 +27,11 @@
 
     String words(Mishap each) {
         var where = each.box() != null ? kinds.name(each.box())
-                : each.jobClass() >= 0 ? "class " + platform.classes().get(each.jobClass()).name() : "the site";
+                : each.jobClass() >= 0 ? "class " + platform.classes().get(each.jobClass()).name()
+                : "the site";
         return each.kind() + " at " + where + " from " + Figure.text(each.atS().value()) + " s ("
-                + each.atS().words() + ") for " + Figure.text(each.forS().value()) + " s (" + each.forS().words()
+                + each.atS().words() + ") for " + Figure.text(each.forS().value()) + " s (" + each.forS()
+                .words()
                 + "): " + each.words();
     }
 
@@ -49,7 +52,8 @@
         }
         if (each.size().known() && !Double.isNaN(each.sizeTo())) {
             double low = Math.max(1, each.size().value());
-            table.raw("size", "[" + Table.literal(low) + ", " + Table.literal(Math.max(low, each.sizeTo())) + "]",
+            table.raw("size", "[" + Table.literal(low) + ", " + Table.literal(Math.max(low, each.sizeTo()))
+                    + "]",
                     each.size(), "");
         } else if (each.size().known()) {
             table.figure("size", each.size(), 1, 1_000);
--- a/lab/src/main/java/ryemast/lab/fit/Figure.java
+++ b/lab/src/main/java/ryemast/lab/fit/Figure.java
@@ -3,7 +3,8 @@
 import java.util.Locale;
 
 /**
- * One figure learned, with its 95% interval and how many samples it rests on. NaN ends: no interval can be given.
+ * One figure learned, with its 95% interval and how many samples it rests on. NaN ends: no interval can be
+ * given.
  *
  * @param what  what the samples are, for people
  */
--- a/lab/src/main/java/ryemast/lab/fit/Fitter.java
+++ b/lab/src/main/java/ryemast/lab/fit/Fitter.java
@@ -15,10 +15,10 @@
 /**
  * Learns a scenario from recordings of a site's dispatchers.
  *
- * <p>In an order in which each step needs the ones before: which requests are tries of one job; speeds of boxes
- * by hints, and where these leap; how far hints are off; what went wrong, heavy spells among it; then the work of
- * each class outside such spells, and when jobs come. What a recording can't tell is said in words, and the key
- * keeps its default.
+ * <p>In an order in which each step needs the ones before: which requests are tries of one job; speeds of
+ * boxes by hints, and where these leap; how far hints are off; what went wrong, heavy spells among it; then
+ * the work of each class outside such spells, and when jobs come. What a recording can't tell is said in
+ * words, and the key keeps its default.
  */
 public final class Fitter {
 
@@ -59,7 +59,8 @@
 
     static Fitted fit(Seen seen, boolean withReplay) throws IOException {
         if (seen.boxes().isEmpty() || seen.jobs().isEmpty() || seen.length() <= 0) {
-            throw new IOException("the recording holds " + seen.jobs().size() + " jobs and " + seen.boxes().size()
+            throw new IOException("the recording holds " + seen.jobs().size() + " jobs and " + seen.boxes()
+                    .size()
                     + " boxes; nothing can be learned without both");
         }
         return new Fitter(seen).fitted(withReplay);
@@ -67,7 +68,8 @@
 
     private Fitted fitted(boolean withReplay) {
         var top = new Table("", "run");
-        var title = String.format(Locale.ROOT, "fitted to %.0f s of %d jobs at %d boxes", seen.length() / SECOND,
+        var title = String.format(Locale.ROOT, "fitted to %.0f s of %d jobs at %d boxes",
+                seen.length() / SECOND,
                 first.size(), seen.boxes().size());
         top.text("title", title, "");
         double lastJob = first.get(first.size() - 1).at / SECOND;
@@ -75,7 +77,8 @@
         top.number("resolution_ms", platform.number("resolution", 5_000) / MS, "");
         var zones = platform.names("areas");
         if (!zones.isEmpty()) {
-            top.raw("zones", "[" + String.join(", ", zones.stream().map(Table::quoted).toList()) + "]", null, "");
+            top.raw("zones", "[" + String.join(", ", zones.stream().map(Table::quoted).toList()) + "]", null,
+                    "");
         }
         tables.add(top);
         tables.addAll(platform.tables(seen.sources()));
@@ -93,7 +96,8 @@
         var replay = withReplay ? new Replay(demand.replay()) : null;
         untold.addAll(demand.untold());
         whatCantBeTold();
-        return new Fitted(title, tables, mishaps.all(), mishaps.all().stream().map(faults::words).toList(), untold,
+        return new Fitted(title, tables, mishaps.all(), mishaps.all().stream().map(faults::words).toList(),
+                untold,
                 seen.warnings(), replay, platform.classes().stream().map(Platform.JobClass::name).toList(),
                 platform.tenants().stream().map(Platform.Tenant::name).toList());
     }
@@ -145,7 +149,8 @@
         } else {
             table.text("hints", "rough", "given with " + Figure.text(100 * given.value()) + "% of jobs");
             table.figure("hint_sigma", hintSigma, 0, 5);
-            untold.add("whether all hints are off by one common factor: it can't be told from the boxes' speeds,"
+            untold.add("whether all hints are off by one common factor: it can't be told from the boxes' "
+                    + "speeds,"
                     + " and does not matter to a run, as work is fitted by the same hints");
         }
         double quota = platform.tenants().stream().mapToDouble(Platform.Tenant::quota).sum();
@@ -161,7 +166,8 @@
     private Table clients() {
         var table = new Table("[clients]", "clients");
         table.number("retries", behaviour.retries(), "the most that was seen; " + (behaviour.again().known()
-                ? Figure.text(100 * behaviour.again().value()) + "% of tries that were not served were followed by "
+                ? Figure.text(100 * behaviour.again().value())
+                + "% of tries that were not served were followed by "
                 + "another (" + behaviour.again().words() + ")" : "no try went unserved with time left"));
         table.text("backoff", behaviour.backoff().name().toLowerCase(Locale.ROOT),
                 behaviour.backoffMs().known() ? "" : "no retry was seen");
@@ -178,7 +184,8 @@
             table.figure("impatient", behaviour.impatient(), 0, 1);
         }
         table.flag("marks_retry", Platform.flag(platform.object("callers"), "marks_retry", false), "");
-        table.number("over_share_worth", Math.max(0, Math.min(1, platform.number("over_share_worth", 0.1))), "");
+        table.number("over_share_worth", Math.max(0, Math.min(1, platform.number("over_share_worth", 0.1))),
+                "");
         return table;
     }
 
@@ -186,25 +193,33 @@
         long open = runs.stream().filter(run -> run.outcome == null).count();
         long cut = runs.stream().filter(run -> run.outcome != null && !run.ended()).count();
         if (open + cut > 0) {
-            untold.add((open + cut) + " runs never came to their own end (" + open + " still ran when the recording"
-                    + " ended, " + cut + " were cancelled, timed out or lost): what they would have cost is known to"
-                    + " be more than was seen, and no more than that; their classes' work is fitted with them as"
+            untold.add((open + cut) + " runs never came to their own end (" + open
+                    + " still ran when the recording"
+                    + " ended, " + cut + " were cancelled, timed out or lost): what they would have cost is "
+                    + "known to"
+                    + " be more than was seen, and no more than that; their classes' work is fitted with "
+                    + "them as"
                     + " such");
         }
-        long neverRan = first.stream().filter(job -> job.attempts.stream().noneMatch(Attempt::started)).count();
+        long neverRan = first.stream().filter(job -> job.attempts.stream().noneMatch(Attempt::started))
+                .count();
         if (neverRan > 0) {
-            untold.add(neverRan + " jobs were never seen to start: nothing but their hints tells of their cost");
+            untold.add(neverRan + " jobs were never seen to start: nothing but their hints tells of their "
+                    + "cost");
         }
         int fleet = (int) platform.number("fleet_size", 1);
         if (fleet > seen.sources()) {
-            untold.add("what the other " + (fleet - seen.sources()) + " of " + fleet + " dispatchers sent: boxes were"
-                    + " shared with them, so that cores, queues and waits show in part; record all and fit them"
+            untold.add("what the other " + (fleet - seen.sources()) + " of " + fleet
+                    + " dispatchers sent: boxes were"
+                    + " shared with them, so that cores, queues and waits show in part; record all and fit "
+                    + "them"
                     + " together");
         }
         if (!platform.tellsStarts()) {
             untold.add("when jobs started: boxes don't tell; speeds rest on jobs that were alone at a box");
         }
-        untold.add("what never happened while it was recorded: how boxes warm up, when connections run out, what a"
+        untold.add("what never happened while it was recorded: how boxes warm up, when connections run out, "
+                + "what a"
                 + " handshake costs; the defaults hold");
     }
 }
--- a/lab/src/main/java/ryemast/lab/fit/KindTables.java
+++ b/lab/src/main/java/ryemast/lab/fit/KindTables.java
@@ -61,7 +61,8 @@
             var speed = speeds.of(box);
             values.add(Table.literal(speed.known() ? speed.value() : middle));
             capacity += speed.known() ? speed.value() * cores(kind) : middle * cores(kind);
-            table.remark(name + " " + (i + 1) + ": speed " + (speed.known() ? Figure.text(speed.value()) + ", " + speed.words()
+            table.remark(name + " " + (i + 1) + ": speed " + (speed.known() ? Figure.text(speed.value())
+                    + ", " + speed.words()
                     : "not known, too few runs; that of its kind stands in"));
         }
         table.raw("speeds", "[" + String.join(", ", values) + "]", of[0], "the kind's mean: "
@@ -79,13 +80,16 @@
         table.raw("zones", "[" + String.join(", ", boxes.stream().map(box -> zone(box)).distinct()
                 .map(Table::quoted).toList()) + "]", null, "");
         var rules = platform.object("obligations");
-        table.number("cold_from", Math.max(0.001, Math.min(1, Platform.number(rules, "start_capacity", 0.25))),
+        table.number("cold_from", Math.max(0.001, Math.min(1,
+                Platform.number(rules, "start_capacity", 0.25))),
                 "the settings' least");
         table.number("cold_s", Platform.number(rules, "cold", 1e7) / 1e6, "the settings' longest");
-        table.number("idle_s", Math.max(0.01, Platform.number(platform.object("allowed"), "conn_idle", 5e6) / 1e6), "");
+        table.number("idle_s", Math.max(0.01, Platform.number(platform.object("allowed"), "conn_idle",
+                5e6) / 1e6), "");
         var handedBack = boxes.stream().flatMap(box -> box.attempts.stream())
                 .anyMatch(each -> each.outcome == Outcome.REJECTED && each.acceptedAt != Seen.NEVER);
-        table.flag("drain_hands_back", handedBack, handedBack ? "jobs that had been accepted came back unstarted" : "");
+        table.flag("drain_hands_back", handedBack, handedBack
+                ? "jobs that had been accepted came back unstarted" : "");
         tables.add(table);
     }
 
@@ -101,12 +105,15 @@
     private void cores(Table table, int kind, String name) {
         var cores = speeds.cores().get(kind);
         table.raw("cores", String.valueOf(cores.cores()), null, "from " + cores.samples() + " runs; "
-                + (cores.atLeast() ? "more than " + cores.mostAtOnce() + " jobs at once were never seen, so that there"
-                + " may be more" : "with more at once, jobs took longer; at most " + cores.mostAtOnce() + " ran at once"));
+                + (cores.atLeast() ? "more than " + cores.mostAtOnce()
+                + " jobs at once were never seen, so that there"
+                + " may be more" : "with more at once, jobs took longer; at most " + cores.mostAtOnce()
+                + " ran at once"));
         double slots = (double) cores.mostAtOnce() / cores.cores();
         table.number("slots_per_core", slots, "the most that ran at once");
         if (cores.atLeast()) {
-            untold.add("whether " + name + " has more than " + cores.cores() + " cores: no more jobs ran there at once");
+            untold.add("whether " + name + " has more than " + cores.cores()
+                    + " cores: no more jobs ran there at once");
         }
     }
 
@@ -119,7 +126,8 @@
             for (var each : box.attempts) {
                 if (each.acceptedAt != Seen.NEVER && each.outcome != Outcome.REJECTED) {
                     changes.add(new long[] {each.acceptedAt, 1, 0});
-                    changes.add(new long[] {Math.min(each.startedAt, Math.min(each.endedAt, seen.length())), -1, 0});
+                    changes.add(new long[] {Math.min(each.startedAt, Math.min(each.endedAt, seen.length())),
+                            -1, 0});
                 } else if (each.outcome == Outcome.REJECTED && each.acceptedAt == Seen.NEVER) {
                     changes.add(new long[] {each.sentAt, 0, 1});
                 }
@@ -134,14 +142,16 @@
                 }
             }
         }
-        var seenFull = Stats.median(full.stream().mapToDouble(Double::doubleValue).toArray(), "turnings away");
+        var seenFull = Stats.median(full.stream().mapToDouble(Double::doubleValue).toArray(),
+                "turnings away");
         double queue = seenFull.samples() >= 6 ? seenFull.value() : most;
         if (seenFull.samples() >= 6) {
             table.figure("queue_per_core", seenFull.times(1.0 / cores(kind)), 0, 100_000);
         } else {
             double atLeast = Math.max(6, queue / cores(kind));
             table.number("queue_per_core", atLeast, "it was never full; as many as " + most + " waited");
-            untold.add("how long a queue " + name + " holds: it was " + (full.isEmpty() ? "never" : "hardly ever")
+            untold.add("how long a queue " + name + " holds: it was "
+                    + (full.isEmpty() ? "never" : "hardly ever")
                     + " full; at least " + most);
         }
     }
--- a/lab/src/main/java/ryemast/lab/fit/Least.java
+++ b/lab/src/main/java/ryemast/lab/fit/Least.java
@@ -12,8 +12,8 @@
 import org.apache.commons.math3.optim.nonlinear.scalar.noderiv.SimplexOptimizer;
 
 /**
- * The least value of a function of a few figures, by Nelder and Mead's simplex. On a ridge, where it would creep
- * on for ever, the best that was met in so many evaluations has to do.
+ * The least value of a function of a few figures, by Nelder and Mead's simplex. On a ridge, where it would
+ * creep on for ever, the best that was met in so many evaluations has to do.
  */
 final class Least {
 
--- a/lab/src/main/java/ryemast/lab/fit/Mishap.java
+++ b/lab/src/main/java/ryemast/lab/fit/Mishap.java
@@ -9,7 +9,8 @@
  * @param box       null: no box in particular
  * @param jobClass  -1: none in particular
  * @param share     of jobs, unknown where that means nothing
- * @param size      unknown where that means nothing; {@code sizeTo}: the other end where it is a range, else NaN
+ * @param size      unknown where that means nothing; {@code sizeTo}: the other end where it is a range, else
+ *                  NaN
  * @param words     what it was seen by
  */
 record Mishap(String kind, Box box, int jobClass, Figure atS, Figure forS, Figure share, Figure size,
--- a/lab/src/main/java/ryemast/lab/fit/Mishaps.java
+++ b/lab/src/main/java/ryemast/lab/fit/Mishaps.java
@@ -99,12 +99,15 @@
 
     private void ended(Box box, Seen.Listing draining, long backAt, boolean back) {
         var until = back ? new Figure(backAt / SECOND, backAt / SECOND, backAt / SECOND, 1, "start told")
-                : new Figure(seen.length() / SECOND, backAt / SECOND, Double.NaN, 1, "end: it was not back by then");
+                : new Figure(seen.length() / SECOND, backAt / SECOND, Double.NaN, 1,
+                "end: it was not back by then");
         Mishap mishap;
         if (draining != null) {
             double at = draining.at() / SECOND;
-            var from = new Figure(at, Double.NaN, at, 1, "drain told; when it began is not known, only when it was told");
-            mishap = Mishap.of("drain", box, from, lasts(from, until), back ? "discovery said that it drains, then"
+            var from = new Figure(at, Double.NaN, at, 1,
+                    "drain told; when it began is not known, only when it was told");
+            mishap = Mishap.of("drain", box, from, lasts(from, until), back
+                    ? "discovery said that it drains, then"
                     + " that it started anew" : "discovery said that it drains; it was not back by the end");
         } else {
             long lastGood = 0;
@@ -127,7 +130,8 @@
                     reset |= each.outcome == Outcome.RESET;
                 }
             }
-            var from = new Figure(Math.min(firstBad, backAt) / SECOND, lastGood / SECOND, firstBad / SECOND, 1,
+            var from = new Figure(Math.min(firstBad, backAt) / SECOND, lastGood / SECOND, firstBad / SECOND,
+                    1,
                     "death: between its last word and the first failure");
             mishap = Mishap.of(reset || !back ? "crash" : "vanish", box, from, lasts(from, until), back
                     ? "discovery told of a new start and of no drain" : "discovery took it off the list");
@@ -139,7 +143,8 @@
     /** Jobs of a class that cost a multiple of their hints, in a stretch of time. */
     private void heavy(int jobClass, int classes) {
         var of = runs.stream().filter(run -> run.job.jobClass == jobClass && speeds.tells(run)
-                && (!speeds.hinted() || run.job.hint > 0)).sorted(Comparator.comparingLong(run -> run.job.at)).toList();
+                && (!speeds.hinted() || run.job.hint > 0)).sorted(Comparator.comparingLong(run -> run.job.at))
+                .toList();
         double usual = speeds.hinted() ? 0 : Stats.median(of.stream().mapToDouble(run ->
                 Math.log(speeds.work(run))).toArray(), "").value();
         var excesses = of.stream().mapToDouble(run -> Math.log(speeds.work(run))
@@ -177,8 +182,10 @@
             long cut = telling.stream().filter(i -> excesses[i] > 0 && !of.get(i).done()
                     && spell.holds(of.get(i).job.at / SECOND)).count();
             found.add(Mishap.of("heavy", null, spell.fromS(), lasts(spell.fromS(), spell.untilS()),
-                    "its jobs cost a multiple of their hints" + (cut == 0 ? "" : "; " + cut + " of them were cut "
-                            + "short, and may have cost any more")).withClass(jobClass).withShare(spell.share())
+                    "its jobs cost a multiple of their hints"
+                    + (cut == 0 ? "" : "; " + cut + " of them were cut "
+                            + "short, and may have cost any more")).withClass(jobClass)
+                            .withShare(spell.share())
                     .withSize(new Figure(Stats.quantile(sorted, 0.05), sorted[0], sorted[sorted.length - 1],
                             sorted.length, "heavy jobs; the range that nine in ten lie in"),
                             Stats.quantile(sorted, 0.95)));
--- a/lab/src/main/java/ryemast/lab/fit/Platform.java
+++ b/lab/src/main/java/ryemast/lab/fit/Platform.java
@@ -27,7 +27,8 @@
     }
 
     JsonObject object(String key) {
-        return all.get(key) != null && all.get(key).isJsonObject() ? all.getAsJsonObject(key) : new JsonObject();
+        return all.get(key) != null && all.get(key).isJsonObject() ? all.getAsJsonObject(key)
+                : new JsonObject();
     }
 
     static double number(JsonObject from, String key, double otherwise) {
@@ -51,7 +52,8 @@
     }
 
     private JsonArray array(JsonObject from, String key) {
-        return from.get(key) != null && from.get(key).isJsonArray() ? from.getAsJsonArray(key) : new JsonArray();
+        return from.get(key) != null && from.get(key).isJsonArray() ? from.getAsJsonArray(key)
+                : new JsonArray();
     }
 
     List<String> names(String key) {
@@ -89,7 +91,8 @@
         for (var each : array(all, "parties")) {
             if (each.isJsonObject()) {
                 var one = each.getAsJsonObject();
-                found.add(new Tenant(text(one.get("name"), "tenant-" + found.size()), number(one, "portion", 0),
+                found.add(new Tenant(text(one.get("name"), "tenant-" + found.size()),
+                        number(one, "portion", 0),
                         number(one, "quota_per_s", 0)));
             }
         }
@@ -114,7 +117,8 @@
         var prices = object("tariffs");
         var specifics = object("specifics");
         int fleet = (int) Math.max(1, number("fleet_size", 1));
-        found.add(new Table("[dispatchers]", "dispatchers").number("count", Math.min(256, sources == fleet ? fleet
+        found.add(new Table("[dispatchers]", "dispatchers").number("count",
+                Math.min(256, sources == fleet ? fleet
                 : sources), sources == fleet ? "" : "the site has " + fleet + "; so many were recorded"));
         found.add(new Table("[telling]", "telling").flag("starts", tellsStarts(), "")
                 .number("progress_s", number(specifics, "progress", 0) / 1e6, ""));
@@ -128,8 +132,10 @@
                 .flag("second_copies", flag(allowed, "second_copies", false), "")
                 .flag("cancel", flag(allowed, "cancelling", false), "")
                 .flag("retry_after", flag(allowed, "retry_after", false), "")
-                .number("max_retry_after_ms", Math.min(60_000, number(allowed, "max_retry_after", 0) / MS), "")
-                .number("connect_timeout_ms", Math.max(1, number(allowed, "connect_timeout", 250 * MS) / MS), ""));
+                .number("max_retry_after_ms", Math.min(60_000, number(allowed, "max_retry_after", 0) / MS),
+                "")
+                .number("connect_timeout_ms", Math.max(1, number(allowed, "connect_timeout", 250 * MS) / MS),
+                ""));
         double whole = number(goal, "whole", 0.6);
         double window = number(goal, "worst_window", 0.15);
         double jobClass = number(goal, "worst_class", 0.1);
@@ -137,7 +143,8 @@
         double sum = Math.max(1e-9, whole + window + jobClass + tenant);
         found.add(new Table("[goal]", "goal").number("whole", whole / sum, "")
                 .number("worst_window", window / sum, "").number("worst_class", jobClass / sum, "")
-                .number("worst_tenant", tenant / sum, "").number("late_fail", number(prices, "late_fail", 0), "")
+                .number("worst_tenant", tenant / sum, "").number("late_fail", number(prices, "late_fail", 0),
+                "")
                 .number("waste", number(prices, "waste", 0), ""));
         return found;
     }
--- a/lab/src/main/java/ryemast/lab/fit/Runs.java
+++ b/lab/src/main/java/ryemast/lab/fit/Runs.java
@@ -8,9 +8,9 @@
 import ryemast.lab.fit.Seen.Box;
 
 /**
- * The runs at boxes that were seen: from the word that a job has started to its end. Where boxes don't tell of
- * starts, an attempt that was alone at its box (as far as this recording sees) stands for a run from when it was
- * accepted.
+ * The runs at boxes that were seen: from the word that a job has started to its end. Where boxes don't tell
+ * of starts, an attempt that was alone at its box (as far as this recording sees) stands for a run from when
+ * it was accepted.
  */
 final class Runs {
 
@@ -27,7 +27,8 @@
             crowds(box, seen.length());
             box.attempts.stream().filter(Attempt::started).forEach(runs::add);
         }
-        runs.sort(Comparator.comparingLong((Attempt each) -> each.startedAt).thenComparingInt(a -> a.box.number));
+        runs.sort(Comparator.comparingLong((Attempt each) -> each.startedAt)
+                .thenComparingInt(a -> a.box.number));
         return runs;
     }
 
--- a/lab/src/main/java/ryemast/lab/fit/Scan.java
+++ b/lab/src/main/java/ryemast/lab/fit/Scan.java
@@ -5,10 +5,10 @@
 import java.util.List;
 
 /**
- * Finds stretches of time in which something happened to a larger share than at other times: the scan statistic
- * of Kulldorff ("A spatial scan statistic", 1997) over all stretches that begin and end at a hit. A stretch
- * counts from a likelihood ratio on that chance reaches anywhere once in more than a hundred such series; its
- * ends have the interval in which the ratio stays near the best.
+ * Finds stretches of time in which something happened to a larger share than at other times: the scan
+ * statistic of Kulldorff ("A spatial scan statistic", 1997) over all stretches that begin and end at a hit. A
+ * stretch counts from a likelihood ratio on that chance reaches anywhere once in more than a hundred such
+ * series; its ends have the interval in which the ratio stays near the best.
  */
 final class Scan {
 
@@ -87,7 +87,8 @@
         return spell(at, all, hits, from, to, most, what);
     }
 
-    private static Spell spell(double[] at, int[] all, int[] hits, int from, int to, double most, String what) {
+    private static Spell spell(double[] at, int[] all, int[] hits, int from, int to, double most,
+            String what) {
         int n = all[at.length];
         int h = hits[at.length];
         int firstFrom = from;
--- a/lab/src/main/java/ryemast/lab/fit/ScenarioText.java
+++ b/lab/src/main/java/ryemast/lab/fit/ScenarioText.java
@@ -16,8 +16,10 @@
     /** {@code replay}: the file of the jobs, beside the scenario; may be null. */
     public static String toml(Fitted fitted, List<String> recordings, String replay) {
         var out = new StringBuilder();
-        comment(out, "Fitted by 'lab fit' to " + String.join(", ", recordings) + ". Behind each figure stand its 95%"
-                + " interval and what it rests on; what has none is told by the platform's settings or is a default.");
+        comment(out, "Fitted by 'lab fit' to " + String.join(", ", recordings)
+                + ". Behind each figure stand its 95%"
+                + " interval and what it rests on; what has none is told by the platform's settings or is a "
+                + "default.");
         section(out, "The recording:", fitted.warnings());
         section(out, "What can't be told from it:", fitted.untold());
         for (var table : fitted.tables()) {
--- a/lab/src/main/java/ryemast/lab/fit/Seen.java
+++ b/lab/src/main/java/ryemast/lab/fit/Seen.java
@@ -8,8 +8,8 @@
 import ryemast.core.Observer.Answer;
 
 /**
- * What recordings say, put together: every job with its attempts, every box with what was listed of it. Times are
- * microseconds since the first recording began; a time that never came is {@link #NEVER}.
+ * What recordings say, put together: every job with its attempts, every box with what was listed of it. Times
+ * are microseconds since the first recording began; a time that never came is {@link #NEVER}.
  *
  * @param began     Unix microseconds at time 0
  * @param length    until the last entry
--- a/lab/src/main/java/ryemast/lab/fit/Shapes.java
+++ b/lab/src/main/java/ryemast/lab/fit/Shapes.java
@@ -10,10 +10,11 @@
 /**
  * When jobs come: how many a second, and whether that stays, swings as a wave, or leaps between high and low.
  *
- * <p>Each is a Poisson process whose rate is a function of time, a hidden one where it leaps (a Markov-modulated
- * Poisson process of two states; its likelihood by the forward recursion, Rabiner 1989). All three are fitted
- * to the same counts by maximum likelihood and compared by Akaike's criterion; the intervals of swing and period
- * are profile likelihood's. The rate's own is that of batch means, so that swings shorter than a batch are in it.
+ * <p>Each is a Poisson process whose rate is a function of time, a hidden one where it leaps (a
+ * Markov-modulated Poisson process of two states; its likelihood by the forward recursion, Rabiner 1989). All
+ * three are fitted to the same counts by maximum likelihood and compared by Akaike's criterion; the intervals
+ * of swing and period are profile likelihood's. The rate's own is that of batch means, so that swings shorter
+ * than a batch are in it.
  */
 final class Shapes {
 
@@ -24,8 +25,8 @@
     private static final double SHORTEST_PERIOD = 1.5;
     private static final double HALF = 0.5;
     /**
-     * Akaike's criterion must be better by this, or the simpler shape is taken: the best of a hundred frequencies
-     * is better by chance, and this is reached by one steady recording in a hundred.
+     * Akaike's criterion must be better by this, or the simpler shape is taken: the best of a hundred
+     * frequencies is better by chance, and this is reached by one steady recording in a hundred.
      */
     private static final double CLEARLY = 12;
     /** Half of chi squared's 95%. */
@@ -66,7 +67,8 @@
         double error = 1.96 * Math.sqrt(Math.max(1, at.length)) / length;
         double rate = at.length / length;
         if (at.length < FEW) {
-            return new Figure(rate, Math.max(0, rate - error), rate + error, at.length, "jobs, taken as Poisson");
+            return new Figure(rate, Math.max(0, rate - error), rate + error, at.length,
+                    "jobs, taken as Poisson");
         }
         var rates = new double[BATCHES];
         for (double each : at) {
@@ -117,7 +119,8 @@
 
     /** Mean count, swing, logarithm of the period; scaled as it goes, so that nothing gets too small. */
     private double leaps(double[] p) {
-        if (p[0] <= 0 || p[1] < 0 || p[1] > 1 || p[2] < Math.log(SHORTEST_PERIOD / 4) || p[2] > Math.log(100 * length)) {
+        if (p[0] <= 0 || p[1] < 0 || p[1] > 1 || p[2] < Math.log(SHORTEST_PERIOD / 4)
+                || p[2] > Math.log(100 * length)) {
             return FORBIDDEN;
         }
         double high = p[0] * (1 + p[1]);
@@ -235,6 +238,7 @@
                 counts[of]++;
             }
         });
-        return Arrays.stream(counts).mapToObj(count -> Stats.share(count, all.size(), what)).toArray(Figure[]::new);
+        return Arrays.stream(counts).mapToObj(count -> Stats.share(count, all.size(), what))
+                .toArray(Figure[]::new);
     }
 }
--- a/lab/src/main/java/ryemast/lab/fit/Speeds.java
+++ b/lab/src/main/java/ryemast/lab/fit/Speeds.java
@@ -13,10 +13,10 @@
 /**
  * How fast boxes are.
  *
- * <p>Each run gives the logarithm of the cost to be expected ({@link Expected}) over its time; for a box these
- * scatter about the logarithm of its speed. The middle is their median, so that jobs that cost any multiple, and
- * runs that were cut short (whose ratio can only be too high), hardly move it. Without hints speeds are
- * relative: their mean is 1 by assumption.
+ * <p>Each run gives the logarithm of the cost to be expected ({@link Expected}) over its time; for a box
+ * these scatter about the logarithm of its speed. The middle is their median, so that jobs that cost any
+ * multiple, and runs that were cut short (whose ratio can only be too high), hardly move it. Without hints
+ * speeds are relative: their mean is 1 by assumption.
  *
  * <p>Left out: runs at a box that may still be cold, and where more jobs ran at once than it has cores their
  * times are brought back to what they would have been alone.
@@ -38,7 +38,9 @@
     record Slow(Box box, Figure fromS, Figure untilS, Figure factor) {
     }
 
-    /** @param cores  running jobs that don't slow one another; {@code atLeast}: more were never seen at once */
+    /**
+     * @param cores  running jobs that don't slow one another; {@code atLeast}: more were never seen at once
+     */
     record Cores(int cores, boolean atLeast, int mostAtOnce, long samples) {
     }
 
@@ -305,7 +307,8 @@
     private Slow slow(Box box, List<Attempt> own, Steps.Stretch here, Steps.Stretch next, Figure base,
             Figure middle) {
         double second = 1e6;
-        var from = here.from() == 0 ? new Figure(0, 0, 0, here.to() - here.from(), "runs, from the beginning on")
+        var from = here.from() == 0 ? new Figure(0, 0, 0, here.to() - here.from(),
+                "runs, from the beginning on")
                 : time(own, here, here.to() - here.from());
         var until = next == null ? new Figure(seen.length() / second, seen.length() / second, Double.NaN,
                 here.to() - here.from(), "runs, until the recording's end or later")
--- a/lab/src/main/java/ryemast/lab/fit/Steps.java
+++ b/lab/src/main/java/ryemast/lab/fit/Steps.java
@@ -5,9 +5,9 @@
 import java.util.List;
 
 /**
- * Finds where the middle of a series leaps: binary segmentation by the likelihood ratio of one mean against two,
- * on values whose wild ones are cut to three sigma. A leap's place has the interval in which its likelihood
- * ratio stays within 7.35 of the best (Hansen, "Sample splitting and threshold estimation", 2000).
+ * Finds where the middle of a series leaps: binary segmentation by the likelihood ratio of one mean against
+ * two, on values whose wild ones are cut to three sigma. A leap's place has the interval in which its
+ * likelihood ratio stays within 7.35 of the best (Hansen, "Sample splitting and threshold estimation", 2000).
  */
 final class Steps {
 
@@ -89,10 +89,13 @@
         return best;
     }
 
-    /** Each leap is placed anew between its neighbours, as others pulled at it when it was found (Bai, 1997). */
+    /**
+     * Each leap is placed anew between its neighbours, as others pulled at it when it was found (Bai, 1997).
+     */
     private List<Stretch> stretches(int length) {
         for (int i = 0; i < leaps.size(); i++) {
-            int better = best(i == 0 ? 0 : leaps.get(i - 1), i + 1 < leaps.size() ? leaps.get(i + 1) : length);
+            int better = best(i == 0 ? 0 : leaps.get(i - 1), i + 1 < leaps.size() ? leaps.get(i + 1)
+                    : length);
             leaps.set(i, better < 0 ? leaps.get(i) : better);
         }
         var found = new ArrayList<Stretch>();
--- a/lab/src/main/java/ryemast/lab/fit/Table.java
+++ b/lab/src/main/java/ryemast/lab/fit/Table.java
@@ -16,7 +16,10 @@
     final List<String> remarks = new ArrayList<>();
     final List<Line> lines = new ArrayList<>();
 
-    /** {@code header}: as in the file, with its brackets; empty for the top. {@code name}: tells it from others. */
+    /**
+     * {@code header}: as in the file, with its brackets; empty for the top. {@code name}: tells it from
+     * others.
+     */
     Table(String header, String name) {
         this.header = header;
         this.name = name;
@@ -62,7 +65,8 @@
         if (value == Math.rint(value) && Math.abs(value) < 1e15) {
             return String.valueOf((long) value);
         }
-        return String.format(Locale.ROOT, "%.6g", value).replaceFirst("(\\.\\d*?)0+$", "$1").replaceFirst("\\.$", "");
+        return String.format(Locale.ROOT, "%.6g", value).replaceFirst("(\\.\\d*?)0+$", "$1")
+                .replaceFirst("\\.$", "");
     }
 
     static String quoted(String value) {
--- a/lab/src/main/java/ryemast/lab/fit/Tries.java
+++ b/lab/src/main/java/ryemast/lab/fit/Tries.java
@@ -14,15 +14,17 @@
 /**
  * Which requests are further tries of the same job, and how clients behave between them.
  *
- * <p>A recording has no name that two tries share, so they are matched: same class, tenant, size and hint, the
- * earlier one over and not served, and the same time by which the client gives up, to within what a network
- * adds. Where jobs carry no hints, two jobs that agree in all of this by chance are taken for one.
+ * <p>A recording has no name that two tries share, so they are matched: same class, tenant, size and hint,
+ * the earlier one over and not served, and the same time by which the client gives up, to within what a
+ * network adds. Where jobs carry no hints, two jobs that agree in all of this by chance are taken for one.
  */
 final class Tries {
 
     /** Times left are told in whole milliseconds, and a network takes some. */
     private static final long SAME_DEADLINE = 8_000;
-    /** A wait this near to the advice was the advice; shorter advice can't be told from a client's own haste. */
+    /**
+     * A wait this near to the advice was the advice; shorter advice can't be told from a client's own haste.
+     */
     private static final long NEAR_ADVICE = 15_000;
     /** An answer needs this to reach a client and its next try to come back; less is no wait. */
     private static final double NO_WAIT = 3_000;
@@ -83,7 +85,8 @@
                 continue;
             }
             // Whoever had hardly any time left, or whose next try would come after the end, tells nothing.
-            if (job.deadline() - job.answeredAt > job.timeLeft / 4 && job.answeredAt + job.timeLeft / 4 < end) {
+            if (job.deadline() - job.answeredAt > job.timeLeft / 4 && job.answeredAt
+                    + job.timeLeft / 4 < end) {
                 unserved++;
                 followed += job.next == null ? 0 : 1;
             }
@@ -105,15 +108,17 @@
         double later = second.stream().mapToDouble(Double::doubleValue).average().orElse(0);
         var backoff = !waits.known() || waits.value() * MS < NO_WAIT ? Backoff.NONE
                 : second.size() >= 8 && later > GROWS * waits.value() ? Backoff.EXPONENTIAL : Backoff.FIXED;
-        return new Behaviour(most, Stats.share(followed, unserved, "tries that were not served, with time left"),
-                backoff, waits, Stats.share(asAdvised, advised, "tries that came after advice of 30 ms or more"),
+        return new Behaviour(most, Stats.share(followed, unserved,
+                "tries that were not served, with time left"),
+                backoff, waits, Stats.share(asAdvised, advised,
+                "tries that came after advice of 30 ms or more"),
                 impatient(jobs, end));
     }
 
     /**
-     * Clients that go away do so at any time before their deadline, evenly; one that is answered early may have
-     * been such a client. So what counts is how much of all this time clients were watched (Kaplan and Meier's
-     * point, with a hazard that is even).
+     * Clients that go away do so at any time before their deadline, evenly; one that is answered early may
+     * have been such a client. So what counts is how much of all this time clients were watched (Kaplan and
+     * Meier's point, with a hazard that is even).
      */
     private static Figure impatient(List<Request> jobs, long end) {
         long left = 0;
@@ -129,7 +134,8 @@
         if (watched < 1) {
             return Figure.none("clients' whole waits");
         }
-        var share = Stats.share(left, Math.max(left, Math.round(watched)), "whole waits, put together from parts");
+        var share = Stats.share(left, Math.max(left, Math.round(watched)),
+                "whole waits, put together from parts");
         return share;
     }
 
--- a/lab/src/main/java/ryemast/lab/fit/Works.java
+++ b/lab/src/main/java/ryemast/lab/fit/Works.java
@@ -10,9 +10,9 @@
 import ryemast.lab.scenario.Scenario.Spread;
 
 /**
- * How the work of a class is distributed. A job that was cut short tells that it would have cost more than was
- * seen (right-censored); leaving it out, or taking it for done, would make heavy tails look light. Each family
- * is fitted by maximum likelihood with those in it, and the best by Akaike's criterion is taken.
+ * How the work of a class is distributed. A job that was cut short tells that it would have cost more than
+ * was seen (right-censored); leaving it out, or taking it for done, would make heavy tails look light. Each
+ * family is fitted by maximum likelihood with those in it, and the best by Akaike's criterion is taken.
  */
 final class Works {
 
@@ -26,7 +26,9 @@
     private static final double FAR_BELOW = -20;
     /** Less than this a clock does not tell. */
     private static final double NOISE = 0.002;
-    /** The Pareto of a scenario has a variance; a tail heavier than that is written as the heaviest there is. */
+    /**
+     * The Pareto of a scenario has a variance; a tail heavier than that is written as the heaviest there is.
+     */
     private static final double HEAVIEST_CV = 20;
 
     /** @param done  whether it ran to its end; else it would have cost more */
@@ -43,7 +45,10 @@
     private Works() {
     }
 
-    /** {@code common}: the standard error of what the works' logarithms may all be off by. Null: too few to tell. */
+    /**
+     * {@code common}: the standard error of what the works' logarithms may all be off by. Null: too few to
+     * tell.
+     */
     static Fitted fit(List<Sample> samples, double common) {
         var found = fit(samples);
         if (found == null) {
@@ -78,8 +83,10 @@
             return null;
         }
         var middle = Stats.median(logs, "jobs");
-        return new Fitted(Spread.FIXED, new Figure(Math.exp(middle.value()) / 1e3, Math.exp(middle.low()) / 1e3,
-                Math.exp(middle.high()) / 1e3, samples.size(), "jobs"), new Figure(0, 0, NARROW, samples.size(),
+        return new Fitted(Spread.FIXED, new Figure(Math.exp(middle.value()) / 1e3,
+                Math.exp(middle.low()) / 1e3,
+                Math.exp(middle.high()) / 1e3, samples.size(), "jobs"),
+                new Figure(0, 0, NARROW, samples.size(),
                 "jobs"), cut, 0);
     }
 
@@ -91,7 +98,8 @@
         var chi = ChiSquaredDistribution.of(2.0 * done);
         var figure = new Figure(mean / 1e3, 2 * total / chi.inverseSurvivalProbability(Stats.TAIL) / 1e3,
                 2 * total / chi.inverseCumulativeProbability(Stats.TAIL) / 1e3, samples.size(), "jobs");
-        return new Fitted(Spread.EXPONENTIAL, figure, new Figure(1, 1, 1, samples.size(), "jobs, by the family"),
+        return new Fitted(Spread.EXPONENTIAL, figure, new Figure(1, 1, 1, samples.size(),
+                "jobs, by the family"),
                 cut, 2 + 2 * (done * Math.log(mean) + total / mean));
     }
 
@@ -137,7 +145,8 @@
         var found = new double[n][n];
         for (int i = 0; i < n; i++) {
             for (int j = 0; j < n; j++) {
-                found[i][j] = (moved(f, at, i, h, j, h) - moved(f, at, i, h, j, -h) - moved(f, at, i, -h, j, h)
+                found[i][j] = (moved(f, at, i, h, j, h) - moved(f, at, i, h, j, -h)
+                        - moved(f, at, i, -h, j, h)
                         + moved(f, at, i, -h, j, -h)) / (4 * h * h);
             }
         }
@@ -157,12 +166,13 @@
     }
 
     /**
-     * The logarithm of a Pareto is a constant and an exponential. What is seen of it is off by what a box's speed
-     * and the network add, and one least value that is off would spoil the shape; so a normal error is fitted
-     * with it (an exponentially modified Gaussian), small where the data are clean.
+     * The logarithm of a Pareto is a constant and an exponential. What is seen of it is off by what a box's
+     * speed and the network add, and one least value that is off would spoil the shape; so a normal error is
+     * fitted with it (an exponentially modified Gaussian), small where the data are clean.
      */
     private static Fitted pareto(List<Sample> samples, long cut) {
-        double least = samples.stream().filter(Sample::done).mapToDouble(each -> Math.log(each.work)).min().orElse(0);
+        double least = samples.stream().filter(Sample::done).mapToDouble(each -> Math.log(each.work)).min()
+                .orElse(0);
         double over = samples.stream().mapToDouble(each -> Math.max(0, Math.log(each.work) - least)).sum();
         double shape = (samples.size() - cut) / Math.max(1e-6, over);
         MultivariateFunction minus = p -> -paretoLikelihood(samples, p[0], Math.exp(p[1]), Math.exp(p[2]));
@@ -178,10 +188,12 @@
         double slope = -1 / Math.max(1e-3, shape - 1);
         double error = Z * Math.sqrt(Math.max(0, variance[0][0] + 2 * slope * variance[0][1]
                 + slope * slope * variance[1][1]));
-        var figure = shape <= 1.05 ? new Figure(mean(scale, 1.05), mean(scale, high), Double.POSITIVE_INFINITY,
+        var figure = shape <= 1.05 ? new Figure(mean(scale, 1.05), mean(scale, high),
+                Double.POSITIVE_INFINITY,
                 samples.size(), "jobs") : new Figure(mean, mean * Math.exp(-error), low <= 1
                 ? Double.POSITIVE_INFINITY : mean * Math.exp(error), samples.size(), "jobs");
-        return new Fitted(Spread.PARETO, figure, new Figure(cv(shape), cv(high), cv(low), samples.size(), "jobs"),
+        return new Fitted(Spread.PARETO, figure, new Figure(cv(shape), cv(high), cv(low), samples.size(),
+                "jobs"),
                 cut, 6 + 2 * best.getValue());
     }
 
--- a/lab/src/main/java/ryemast/lab/model/Simulated.java
+++ b/lab/src/main/java/ryemast/lab/model/Simulated.java
@@ -26,7 +26,8 @@
             "late_fail", "waste");
     private static final List<String> PERCENTILES = List.of("p50", "p99", "p999");
     private static final List<String> KEPT = List.of("seed", "seconds", "asked", "served", "refused",
-            "failed", "left", "unanswered", "service", "service_parts", "rules_broken", "rules_broken_by", "breaches",
+            "failed", "left", "unanswered", "service", "service_parts", "rules_broken", "rules_broken_by",
+            "breaches",
             "double_runs", "latency_ms", "attempts_per_job", "second_copies", "by_class", "by_tenant");
 
     private Simulated() {
--- a/lab/src/main/java/ryemast/lab/report/Charts.java
+++ b/lab/src/main/java/ryemast/lab/report/Charts.java
@@ -31,8 +31,8 @@
 import ryemast.lab.model.Spread;
 
 /**
- * The plots of a comparison as SVG, by XChart: both arms in each, their means over the runs with 95% intervals as
- * bars. Letters are drawn as outlines, so that a page looks the same wherever it is read.
+ * The plots of a comparison as SVG, by XChart: both arms in each, their means over the runs with 95%
+ * intervals as bars. Letters are drawn as outlines, so that a page looks the same wherever it is read.
  */
 final class Charts {
 
@@ -114,7 +114,8 @@
     /** The part of its time that each box, or kind of box, was busy. */
     String use() {
         // One by one only where all runs had the same boxes.
-        boolean same = a.stream().allMatch(row -> row.has("use_of_boxes") && row.getAsJsonObject("use_of_boxes")
+        boolean same = a.stream().allMatch(row -> row.has("use_of_boxes")
+                && row.getAsJsonObject("use_of_boxes")
                 .keySet().equals(a.get(0).getAsJsonObject("use_of_boxes").keySet()));
         return bars("part of the time busy", row -> row.getAsJsonObject(same ? "use_of_boxes" : "use"),
                 each -> each);
@@ -173,7 +174,8 @@
         series.setMarker(SeriesMarkers.CIRCLE);
         series.setMarkerColor(INK);
         chart.getStyler().setYAxisDecimalPattern("0.000");
-        var zero = chart.addSeries("no difference", List.of(0.0, differences.length + 1.0), List.of(0.0, 0.0));
+        var zero = chart.addSeries("no difference", List.of(0.0, differences.length + 1.0),
+                List.of(0.0, 0.0));
         zero.setMarker(SeriesMarkers.NONE);
         zero.setLineColor(B);
         return svg(chart);
@@ -185,12 +187,14 @@
     }
 
     private Spread over(boolean ofA, Function<JsonObject, JsonElement> figure) {
-        return Spread.of((ofA ? a : b).stream().map(figure).filter(value -> value != null && !value.isJsonNull())
+        return Spread.of((ofA ? a : b).stream().map(figure).filter(value -> value != null
+                && !value.isJsonNull())
                 .mapToDouble(JsonElement::getAsDouble).toArray());
     }
 
     private static XYChart lines(String xTitle, String yTitle) {
-        var chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).xAxisTitle(xTitle).yAxisTitle(yTitle).build();
+        var chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).xAxisTitle(xTitle).yAxisTitle(yTitle)
+                .build();
         style(chart.getStyler());
         return chart;
     }
--- a/lab/src/main/java/ryemast/lab/report/Page.java
+++ b/lab/src/main/java/ryemast/lab/report/Page.java
@@ -17,8 +17,8 @@
 import ryemast.lab.scenario.Scenario;
 
 /**
- * A comparison as one self-contained page: nothing in it is fetched from anywhere, and it needs no scripts. Where
- * no plots can be drawn (a machine without any fonts), the page has its figures alone and says so.
+ * A comparison as one self-contained page: nothing in it is fetched from anywhere, and it needs no scripts.
+ * Where no plots can be drawn (a machine without any fonts), the page has its figures alone and says so.
  */
 public final class Page {
 
@@ -66,8 +66,10 @@
     }
 
     private String html() throws IOException {
-        out.append("<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">\n<meta name=\"viewport\" "
-                + "content=\"width=device-width, initial-scale=1\">\n<title>").append(text(compared.scenario()))
+        out.append("<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">\n<meta "
+                + "name=\"viewport\" "
+                + "content=\"width=device-width, initial-scale=1\">\n<title>")
+                .append(text(compared.scenario()))
                 .append(": A against B</title>\n<style>").append(style()).append("</style></head><body>\n");
         head();
         figures();
@@ -98,7 +100,8 @@
         out.append("<section><h2>Figures</h2>\n<table><thead><tr><th></th><th>A</th><th>B</th><th>A - B</th>"
                 + "<th>95% of it</th><th></th><th>A better</th></tr></thead><tbody>\n");
         var differences = compared.differences();
-        double shares = scale(differences.keySet().stream().filter(Page::isShare).map(differences::get).toList());
+        double shares = scale(differences.keySet().stream().filter(Page::isShare).map(differences::get)
+                .toList());
         differences.forEach((metric, paired) -> {
             double most = isShare(metric) ? shares : scale(List.of(paired));
             out.append("<tr").append(metric == Metric.SERVICE ? " class=\"main\"" : "").append("><th>")
@@ -109,12 +112,16 @@
             cell(paired.runs() < 2 ? "" : CompareWords.figure(paired.low(), true) + " to "
                     + CompareWords.figure(paired.high(), true));
             out.append("<td>").append(bar(paired, most, metric.upwards())).append("</td>");
-            cell(paired.runs() < 2 || paired.deviation() == 0 ? "" : CompareWords.percent(metric.better(paired)));
+            cell(paired.runs() < 2 || paired.deviation() == 0 ? ""
+                    : CompareWords.percent(metric.better(paired)));
             out.append("</tr>\n");
         });
-        out.append("</tbody></table>\n<p class=\"dim\">Bars: the interval of A - B and its mean, the upright line "
-                + "where there is no difference; blue where A is better for certain, orange where B is, grey where "
-                + "neither is. All shares are on one scale, each other figure is on its own.</p></section>\n");
+        out.append("</tbody></table>\n<p class=\"dim\">Bars: the interval of A - B and its mean, the upright "
+                + "line "
+                + "where there is no difference; blue where A is better for certain, orange where B is, grey "
+                + "where "
+                + "neither is. All shares are on one scale, each other figure is on its "
+                + "own.</p></section>\n");
     }
 
     private static boolean isShare(Metric metric) {
@@ -142,7 +149,8 @@
         boolean sure = paired.low() > 0 || paired.high() < 0;
         var colour = !sure ? "none" : paired.mean() > 0 == upwards ? "a" : "b";
         return String.format(Locale.ROOT, "<svg width=\"%d\" height=\"%d\" role=\"img\"><line class=\"zero\" "
-                + "x1=\"%.1f\" x2=\"%.1f\" y1=\"0\" y2=\"%d\"/><rect class=\"%s\" x=\"%.1f\" y=\"6\" width=\"%.1f\" "
+                + "x1=\"%.1f\" x2=\"%.1f\" y1=\"0\" y2=\"%d\"/><rect class=\"%s\" x=\"%.1f\" y=\"6\" "
+                + "width=\"%.1f\" "
                 + "height=\"6\" rx=\"2\"/><circle class=\"%s\" cx=\"%.1f\" cy=\"9\" r=\"4.5\"/></svg>", BAR,
                 BAR_HEIGHT, middle, middle, BAR_HEIGHT, colour, from, Math.max(1, to - from), colour,
                 middle + paired.mean() * unit);
@@ -153,9 +161,11 @@
             var charts = new Charts(compared);
             double width = Math.max(1, scenario.length() / 30) / MICROS_PER_S;
             out.append("<div class=\"plots\">\n");
-            plot("Service over time", "Worth answered in time, by when jobs came. Mean over the runs; bars are 95% "
+            plot("Service over time", "Worth answered in time, by when jobs came. Mean over the runs; bars "
+                    + "are 95% "
                     + "intervals.", charts.overTime(width));
-            plot("Latency", "How long served jobs took, from when they were due. Read: of 99% of them, none took "
+            plot("Latency", "How long served jobs took, from when they were due. Read: of 99% of them, none "
+                    + "took "
                     + "longer than the curve's height there.", charts.latency(Compared.PARTS));
             plot("Use of boxes", "The part of its time that each was busy.", charts.use());
             plot("Classes", "Worth answered in time, by class.", charts.groups("by_class"));
@@ -173,7 +183,8 @@
 
     private void plot(String title, String words, String svg) {
         if (!svg.isEmpty()) {
-            out.append("<section><h2>").append(text(title)).append("</h2><p class=\"dim\">").append(text(words))
+            out.append("<section><h2>").append(text(title)).append("</h2><p class=\"dim\">")
+                    .append(text(words))
                     .append("</p>\n").append(svg).append("</section>\n");
         }
     }
--- a/lab/src/main/java/ryemast/lab/scenario/Aim.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Aim.java
@@ -18,7 +18,8 @@
  * @param dispatchers  how many
  * @param named        these and no others; empty: not said
  */
-record Aim(Range boxes, Range share, int ofKind, int inZone, boolean all, Range dispatchers, List<Nth> named) {
+record Aim(Range boxes, Range share, int ofKind, int inZone, boolean all, Range dispatchers,
+        List<Nth> named) {
 
     private static final List<String> HOW_MANY = List.of("boxes", "share", "all", "box");
 
--- a/lab/src/main/java/ryemast/lab/scenario/KindPlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/KindPlan.java
@@ -17,7 +17,8 @@
  * @param speeds   of each of its boxes, or null: they are drawn
  * @param pattern  a box of it, made with the kind's number, before it has a place, an id and its own speed
  */
-record KindPlan(String name, double[] speeds, Range count, Range cellSize, Range speedVariation, Range coldFrom, Range coldFor,
+record KindPlan(String name, double[] speeds, Range count, Range cellSize, Range speedVariation,
+        Range coldFrom, Range coldFor,
         List<String> zones, double leastSlots, BiFunction<Chance, Integer, BoxSpec> pattern) {
 
     private static final double A_DAY = 86_400;
--- a/lab/src/main/java/ryemast/lab/scenario/Replay.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Replay.java
@@ -12,8 +12,8 @@
 import java.util.List;
 
 /**
- * The very jobs that came to a site, to be sent again at the very times: a file of JSON lines, one for each job,
- * in the order in which they came. Immutable.
+ * The very jobs that came to a site, to be sent again at the very times: a file of JSON lines, one for each
+ * job, in the order in which they came. Immutable.
  *
  * @param jobs  ordered by {@code at}
  */
@@ -36,7 +36,8 @@
     }
 
     /** A job as a line has it: by names, so that the scenario's order may change. */
-    private record Line(Long atUs, String jobClass, String tenant, Long hintUs, Double workUs, Boolean poisoned) {
+    private record Line(Long atUs, String jobClass, String tenant, Long hintUs, Double workUs,
+            Boolean poisoned) {
     }
 
     public Replay {
@@ -81,7 +82,8 @@
             line = null;
         }
         if (line == null) {
-            throw new IOException(where + ": is no job; expected an object with at_us, job_class, tenant, hint_us"
+            throw new IOException(where + ": is no job; expected an object with at_us, job_class, tenant, "
+                    + "hint_us"
                     + " and work_us");
         }
         if (line.atUs == null || line.atUs < 0 || line.workUs == null || !(line.workUs > 0)
--- a/lab/src/main/java/ryemast/lab/scenario/Scenario.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Scenario.java
@@ -106,7 +106,8 @@
     public record Load(double ratePerSecond, int connections, Shape shape, double swing, long period,
             Hints hints, double hintSigma, int bodyBytes, Replay replay) {
 
-        public Load(double ratePerSecond, int connections, Shape shape, double swing, long period, Hints hints,
+        public Load(double ratePerSecond, int connections, Shape shape, double swing, long period,
+                Hints hints,
                 double hintSigma, int bodyBytes) {
             this(ratePerSecond, connections, shape, swing, period, hints, hintSigma, bodyBytes, null);
         }
--- a/lab/src/main/java/ryemast/lab/site/Jobs.java
+++ b/lab/src/main/java/ryemast/lab/site/Jobs.java
@@ -55,7 +55,8 @@
         var spell = chance.stream("job spells", number);
         double work = job.work() * spells.factor(job.jobClass(), now, spell);
         boolean poisoned = spells.poisoned(job.jobClass(), now, spell) || job.poisoned();
-        return new Job(number, job.jobClass(), job.tenant(), Math.max(1, work), kind.slots(), job.hint(), askedAt,
+        return new Job(number, job.jobClass(), job.tenant(), Math.max(1, work), kind.slots(), job.hint(),
+                askedAt,
                 askedAt + kind.deadline(), poisoned);
     }
 
--- a/lab/src/test/java/ryemast/lab/compare/ComparisonTest.java
+++ b/lab/src/test/java/ryemast/lab/compare/ComparisonTest.java
@@ -43,9 +43,11 @@
 
     /** Four boxes of two cores, three quarters busy, for some seconds. */
     private static Scenario site(long seed, int seconds) {
-        var jobs = new Scenario.JobClass("job", 1, 100_000, Scenario.Spread.LOGNORMAL, 1, 150_000, 2, 3 * SECOND, 1,
+        var jobs = new Scenario.JobClass("job", 1, 100_000, Scenario.Spread.LOGNORMAL, 1, 150_000, 2,
+                3 * SECOND, 1,
                 0, Scenario.Effect.FREE, 1);
-        var builder = ScenarioBuilder.uniform(4, 2, 1, 12).seed(seed).length(seconds * SECOND).classes(List.of(jobs));
+        var builder = ScenarioBuilder.uniform(4, 2, 1, 12).seed(seed).length(seconds * SECOND)
+                .classes(List.of(jobs));
         return builder.rate(0.75 * builder.capacity()).build();
     }
 
@@ -67,7 +69,8 @@
 
             @Override
             public void handle(long now, Event event, Consumer<? super Action> out) {
-                workers = event instanceof WorkerList list && !list.workers().isEmpty() ? list.workers() : workers;
+                workers = event instanceof WorkerList list && !list.workers().isEmpty() ? list.workers()
+                        : workers;
                 brain.handle(now, event, action -> out.accept(action instanceof Send send
                         && random.nextDouble() < share ? new Send(send.request(),
                         workers.get(random.nextInt(workers.size())).id(), send.timeOut()) : action));
@@ -105,13 +108,16 @@
         var arm = Arm.of("allowed.max_attempts=1,categories[0].worth=2,allowed.second_copies=false");
         assertNull(arm.fault(site(1, 4)));
         assertEquals(8, run(arm, Arm.of("module"), 8, 4, 1).rows().seeds().size());
-        assertTrue(Arm.of("allowed.max_attemps=1").fault(site(1, 4)).contains("the settings have no max_attemps"));
+        assertTrue(Arm.of("allowed.max_attemps=1").fault(site(1, 4))
+                .contains("the settings have no max_attemps"));
         assertNotNull(Arm.of("categories[7].worth=1").fault(site(1, 4)));
-        assertTrue(assertThrows(Arm.BadArm.class, () -> Arm.of("modul")).getMessage().contains("module perhaps"));
+        assertTrue(assertThrows(Arm.BadArm.class, () -> Arm.of("modul")).getMessage()
+                .contains("module perhaps"));
         assertThrows(Arm.BadArm.class, () -> Arm.of("Allowed=1"));
         assertThrows(Arm.BadArm.class, () -> Arm.of("missing.jar"));
         var bad = Files.writeString(folder.resolve("bad.toml"), "[limits]\nsocket = 1\n");
-        assertTrue(assertThrows(Arm.BadArm.class, () -> Arm.of(bad.toString())).getMessage().contains("sockets perhaps"));
+        assertTrue(assertThrows(Arm.BadArm.class, () -> Arm.of(bad.toString())).getMessage()
+                .contains("sockets perhaps"));
     }
 
     /** This very build as a version: on the wire it must decide as it does in the model. */
@@ -120,7 +126,8 @@
         var jar = Path.of("app/target/ryemast.jar");
         assumeTrue(Files.exists(jar), "built by the package phase");
         // The wire has 52 bits for a seed, so that both are given the same one.
-        var policy = new Policy("module", "", (settings, seed, truth) -> new Brain(settings, seed & 0xfffffffffffffL));
+        var policy = new Policy("module", "", (settings, seed, truth) ->
+                new Brain(settings, seed & 0xfffffffffffffL));
         var module = new Arm("module", "", scenario -> new Arm.Opened(policy, Tuning.DEFAULT, () -> { }));
         var done = run(Arm.of(jar.toString()), module, 2, 4, 1);
         assertEquals(0, Paired.of(done.rows().differences(Metric.SERVICE.of())).deviation());
@@ -148,12 +155,14 @@
         var done = Comparison.run(plan, 4, new Rows(Map.of(), Map.of()), () -> false, (at, rows) -> { });
         var compared = new Compared("s", "a <b> & c", plan, done);
         var json = compared.json();
-        for (var key : List.of("scenario", "runs", "verdict", "settled", "more_runs", "margin", "chance_a_better",
+        for (var key : List.of("scenario", "runs", "verdict", "settled", "more_runs", "margin",
+                "chance_a_better",
                 "interrupted", "a", "b", "differences", "rows_a", "rows_b")) {
             assertTrue(json.has(key), key);
         }
         var service = json.getAsJsonObject("differences").getAsJsonObject("service");
-        for (var key : List.of("mean", "low", "high", "t_95", "bootstrap_95", "sure_low", "sure_high", "chance_a_better")) {
+        for (var key : List.of("mean", "low", "high", "t_95", "bootstrap_95", "sure_low", "sure_high",
+                "chance_a_better")) {
             assertTrue(service.has(key), key);
         }
         for (var key : List.of("whole", "worst_window", "worst_class", "worst_tenant", "late_fail", "waste",
--- a/lab/src/test/java/ryemast/lab/compare/PairedTest.java
+++ b/lab/src/test/java/ryemast/lab/compare/PairedTest.java
@@ -59,7 +59,9 @@
         assertEquals(0.05 / 8, new Looks(64).nominal(0), 1e-6);
     }
 
-    /** Look by look as a comparison goes, on differences that are none: alarms at the stated rate, not more. */
+    /**
+     * Look by look as a comparison goes, on differences that are none: alarms at the stated rate, not more.
+     */
     @Test
     void falseAlarmsOverAllLooksStayAtTheirRate() {
         for (boolean heavyTails : new boolean[] {false, true}) {
--- a/lab/src/test/java/ryemast/lab/fit/FitterTest.java
+++ b/lab/src/test/java/ryemast/lab/fit/FitterTest.java
@@ -127,7 +127,8 @@
         site.works = List.of(MadeUp.lognormal(30_000, 1), MadeUp.lognormal(90_000, 1));
         site.extra = (jobClass, at, draw) -> jobClass == 1 && at >= 15 && at < 35 && draw.nextDouble() < 0.15
                 ? 5 + 23 * draw.nextDouble() : 1;
-        site.bad = (jobClass, box, at, draw) -> jobClass == 0 && at >= 30 && at < 50 && draw.nextDouble() < 0.2;
+        site.bad = (jobClass, box, at, draw) -> jobClass == 0 && at >= 30 && at < 50
+                && draw.nextDouble() < 0.2;
         var fitted = fit(site, 3);
         var kinds = fitted.mishaps().stream().map(each -> each.kind() + " " + each.jobClass()).toList();
         assertEquals(List.of("heavy 1", "poisoned 0"), kinds, fitted.found().toString());
@@ -135,7 +136,8 @@
         assertTrue(heavy.share().low() <= 0.15 && heavy.share().high() >= 0.1, heavy.share().toString());
         var poisoned = fitted.mishaps().get(1);
         assertTrue(poisoned.atS().low() <= 30 && poisoned.atS().high() >= 30, poisoned.atS().toString());
-        assertTrue(poisoned.share().low() <= 0.2 && poisoned.share().high() >= 0.2, poisoned.share().toString());
+        assertTrue(poisoned.share().low() <= 0.2 && poisoned.share().high() >= 0.2, poisoned.share()
+                .toString());
         var work = figure(fitted, "class long", "work_ms");
         assertTrue(work.low() <= 90 && work.high() >= 90, "spells are left out of the work: " + work);
     }
@@ -149,7 +151,10 @@
         assertTrue(found <= 2, found + " found");
     }
 
-    /** Runs that are given up after 0.4 s leave only the light ones done: their mean alone would be far too low. */
+    /**
+     * Runs that are given up after 0.4 s leave only the light ones done: their mean alone would be far too
+     * low.
+     */
     @Test
     void whatWasCutShortCountsAsHavingCostMore() throws IOException {
         var site = new MadeUp();
@@ -171,7 +176,8 @@
         var bytes = Files.readAllBytes(file);
         Files.write(file, Arrays.copyOf(bytes, bytes.length * 2 / 3));
         var fitted = Fitter.fit(List.of(recording), true);
-        assertTrue(fitted.warnings().stream().anyMatch(each -> each.contains("cut short")), fitted.warnings().toString());
+        assertTrue(fitted.warnings().stream().anyMatch(each -> each.contains("cut short")), fitted.warnings()
+                .toString());
         var scenario = folder.resolve("fitted.toml");
         fitted.replay().write(folder.resolve("fitted.jobs"), fitted.classNames(), fitted.tenantNames());
         Files.writeString(scenario, ScenarioText.toml(fitted, List.of("x"), "fitted.jobs"));
@@ -190,7 +196,8 @@
         var recorder = site.recorder(recording);
         site.jobs(recorder, 2);
         long at = MadeUp.BEGAN;
-        recorder.listed(ListKind.CHANGES, List.of(MadeUp.worker(2, WorkerState.DRAINING, 0)), at + 20_000_000);
+        recorder.listed(ListKind.CHANGES, List.of(MadeUp.worker(2, WorkerState.DRAINING, 0)), at
+                + 20_000_000);
         recorder.listed(ListKind.CHANGES, List.of(MadeUp.worker(2, WorkerState.READY, 25)), at + 26_000_000);
         recorder.listed(ListKind.CHANGES, List.of(MadeUp.worker(3, WorkerState.READY, 33)), at + 34_500_000);
         for (int i = 0; i < 30; i++) {
@@ -198,9 +205,11 @@
             for (int tried = 0; tried < 2; tried++) {
                 long number = 90_000 + i * 2 + tried;
                 long now = asked + tried * 250_000;
-                recorder.taken(number, new Submission("r" + number, 0, 0, 1, 0, 7_000 + i, asked + 5_000_000, "/",
+                recorder.taken(number, new Submission("r" + number, 0, 0, 1, 0, 7_000 + i, asked + 5_000_000,
+                        "/",
                         new byte[0]), now);
-                recorder.answered(number, tried == 0 ? Answer.REFUSED : Answer.SERVED, tried == 0 ? 250_000 : 0, now);
+                recorder.answered(number, tried == 0 ? Answer.REFUSED : Answer.SERVED, tried == 0 ? 250_000
+                        : 0, now);
             }
         }
         recorder.sent(90_001, 0, MadeUp.name(3), at + 41_000_000, at + 32_000_000);
--- a/lab/src/test/java/ryemast/lab/fit/MadeUp.java
+++ b/lab/src/test/java/ryemast/lab/fit/MadeUp.java
@@ -21,8 +21,9 @@
 import ryemast.record.Recorder;
 
 /**
- * A recording of a site whose truth is known: boxes of one kind with given speeds and two cores each, first come,
- * first served; jobs with a large hint mostly go to the fastest box, as a good dispatcher would have it.
+ * A recording of a site whose truth is known: boxes of one kind with given speeds and two cores each, first
+ * come, first served; jobs with a large hint mostly go to the fastest box, as a good dispatcher would have
+ * it.
  */
 final class MadeUp {
 
@@ -32,8 +33,10 @@
             {"areas":["z"],"models":["plain"],"fleet_size":1,"resolution":5000,
              "specifics":{"tells_start":true,"progress":0,"class_stretch":[2,2]},
              "categories":[{"name":"short","effect":"free","on_time":500000,"deadline":5000000,"worth":1},
-                           {"name":"long","effect":"single_shot","on_time":900000,"deadline":9000000,"worth":2}],
-             "parties":[{"name":"a","portion":0.5,"quota_per_s":9},{"name":"b","portion":0.5,"quota_per_s":9}],
+                           {"name":"long","effect":"single_shot","on_time":900000,"deadline":9000000,
+                            "worth":2}],
+             "parties":[{"name":"a","portion":0.5,"quota_per_s":9},
+                        {"name":"b","portion":0.5,"quota_per_s":9}],
              "obligations":{"cold":1000000}}""";
 
     final double[] speeds = {2, 1.5, 1, 0.7};
@@ -45,7 +48,8 @@
     double swing;
     double period = 10;
     /** Makes a job's work, by class. */
-    List<ToDoubleFunction<UniformRandomProvider>> works = List.of(lognormal(100_000, 1), lognormal(300_000, 1));
+    List<ToDoubleFunction<UniformRandomProvider>> works = List.of(lognormal(100_000, 1),
+            lognormal(300_000, 1));
     /** By how much a box is slower at a time. */
     Slowness slowness = (box, at) -> 1;
     /** By how much a job costs more than its hint knows. */
@@ -78,11 +82,13 @@
     }
 
     static WorkerInfo worker(int box, WorkerState state, double startedAtS) {
-        return new WorkerInfo(name(box), state, 0, 0, 0, 1, startedAtS <= 0 ? 0 : BEGAN + Math.round(startedAtS * SECOND));
+        return new WorkerInfo(name(box), state, 0, 0, 0, 1, startedAtS <= 0 ? 0 : BEGAN
+                + Math.round(startedAtS * SECOND));
     }
 
     Recorder recorder(Path folder) {
-        var recorder = new Recorder(new Recorder.Limits(folder, 1 << 26, 1 << 28, 1 << 12), "n0", "1", SETTINGS, BEGAN);
+        var recorder = new Recorder(new Recorder.Limits(folder, 1 << 26, 1 << 28, 1 << 12), "n0", "1",
+                SETTINGS, BEGAN);
         var all = new ArrayList<WorkerInfo>();
         for (int box = 0; box < speeds.length; box++) {
             all.add(worker(box, WorkerState.READY, 0));
@@ -102,7 +108,8 @@
 
     void jobs(Recorder to, long seed) {
         var chance = new Chance(seed);
-        var load = new Scenario.Load(rate, 0, shape, swing, Math.round(period * SECOND), Scenario.Hints.NONE, 0, 0);
+        var load = new Scenario.Load(rate, 0, shape, swing, Math.round(period * SECOND), Scenario.Hints.NONE,
+                0, 0);
         var arrivals = new Arrivals(load, Math.round(seconds * SECOND), chance);
         var free = new double[speeds.length][2];
         long number = 0;
@@ -111,7 +118,8 @@
             var draw = chance.stream("made up", number);
             int jobClass = draw.nextDouble() < longShare ? 1 : 0;
             double work = works.get(jobClass).applyAsDouble(draw);
-            double hint = Math.max(1, work * Math.exp(hintSigma * ZigguratSampler.NormalizedGaussian.of(draw).sample()));
+            double hint = Math.max(1, work * Math.exp(hintSigma * ZigguratSampler.NormalizedGaussian.of(draw)
+                    .sample()));
             work *= extra.of(jobClass, at / SECOND, draw);
             boolean large = hint > 150_000;
             int box = draw.nextDouble() < 0.6 ? large ? 0 : 3 : draw.nextInt(speeds.length);
