--- a/app/src/main/java/ryemast/record/Encoder.java
+++ b/app/src/main/java/ryemast/record/Encoder.java
@@ -9,11 +9,13 @@
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import javax.crypto.Mac;
+import javax.crypto.Cipher;
+import javax.crypto.spec.IvParameterSpec;
 import javax.crypto.spec.SecretKeySpec;
 import pipitladder.Dispatcher.ListKind;
 import pipitladder.Dispatcher.WorkerInfo;
@@ -21,22 +23,31 @@
 import ryemast.record.Ring.Place;
 
 /**
- * Turns what happened into the content of frames. Names leave it only as the first eight bytes of their
- * HMAC-SHA-256 (RFC 2104) under a key made here and kept nowhere else, so that nobody can test a name against
- * a recording, not even with the recording's own program.
+ * Turns what happened into the content of frames. Names leave it only as the first eight bytes of a keyed
+ * hash, under a key made here and kept nowhere else, so that nobody can test a name against a recording, not
+ * even with the recording's own program.
+ *
+ * <p>The hash is AES-128's CBC-MAC with the length before the name (ISO/IEC 9797-1, algorithm 1, padding
+ * method 3). HMAC-SHA-256 was measured first: on a Java that compiles for a quick start, as a dispatcher's
+ * does, it takes 5.4 microseconds a name, three times all else here.
  */
 final class Encoder {
 
-    private static final String MAC = "HmacSHA256";
-    private static final int KEY_BYTES = 32;
+    private static final String CIPHER = "AES/CBC/NoPadding";
+    private static final int BLOCK = 16;
+    /** More than a client's name may have, and than any worker's has. */
+    private static final int LONGEST = 4 * 1024;
 
     private final CBORFactory factory = new CBORFactory();
-    private final Mac mac;
+    private final Cipher cipher;
     private final Map<String, Integer> numbers = new HashMap<>();
     /** The service table as last told, for the beginning of the next file. */
     private final Map<String, WorkerInfo> listed = new LinkedHashMap<>();
     private final Content content = new Content();
     private final CBORGenerator out;
+    private byte[] padded = new byte[2 * BLOCK];
+    private byte[] hashed = new byte[2 * BLOCK];
+    private boolean empty = true;
     private long last;
 
     /** Gives out its bytes without a copy. */
@@ -48,13 +59,14 @@
 
     Encoder() {
         try {
-            var key = new byte[KEY_BYTES];
+            var key = new byte[BLOCK];
             new SecureRandom().nextBytes(key);
-            mac = Mac.getInstance(MAC);
-            mac.init(new SecretKeySpec(key, MAC));
+            cipher = Cipher.getInstance(CIPHER);
+            cipher.init(Cipher.ENCRYPT_MODE, new SecretKeySpec(key, "AES"),
+                    new IvParameterSpec(new byte[BLOCK]));
             out = factory.createGenerator(content);
         } catch (GeneralSecurityException e) {
-            throw new IllegalStateException(MAC + " is part of every Java", e);
+            throw new IllegalStateException(CIPHER + " is part of every Java", e);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -73,10 +85,12 @@
     void clear() throws IOException {
         out.flush();
         content.reset();
+        empty = true;
     }
 
     private void open(Kind kind, long at) throws IOException {
-        if (length() == 0) {
+        if (empty) {
+            empty = false;
             out.writeNumber(at);
             last = at;
         }
@@ -218,6 +232,23 @@
     }
 
     private long hash(String name) {
-        return ByteBuffer.wrap(mac.doFinal(name.getBytes(StandardCharsets.UTF_8))).getLong();
+        var bytes = name.getBytes(StandardCharsets.UTF_8);
+        int length = Math.min(bytes.length, LONGEST);
+        int blocks = (length + 2 + BLOCK - 1) / BLOCK;
+        if (padded.length < blocks * BLOCK) {
+            padded = new byte[blocks * BLOCK];
+            hashed = new byte[blocks * BLOCK];
+        }
+        padded[0] = (byte) (length >> 8);
+        padded[1] = (byte) length;
+        System.arraycopy(bytes, 0, padded, 2, length);
+        Arrays.fill(padded, length + 2, blocks * BLOCK, (byte) 0);
+        try {
+            // Each call begins anew from the first block; the last block is the hash.
+            cipher.doFinal(padded, 0, blocks * BLOCK, hashed, 0);
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("whole blocks can always be encrypted", e);
+        }
+        return ByteBuffer.wrap(hashed, (blocks - 1) * BLOCK, Long.BYTES).getLong();
     }
 }
--- a/app/src/main/java/ryemast/record/Recorder.java
+++ b/app/src/main/java/ryemast/record/Recorder.java
@@ -33,6 +33,8 @@
     private static final long PAUSE = TimeUnit.MILLISECONDS.toNanos(100);
     /** A frame is written out at this size, whatever else there is. */
     private static final int FRAME = 64 << 10;
+    /** Looking how long a frame is costs more than a record does. */
+    private static final int LOOK = 64;
     /** A program that ends waits no longer for its disk. */
     private static final long LAST_WAIT = TimeUnit.SECONDS.toMillis(1);
     private static final int ID_BYTES = 4;
@@ -53,6 +55,7 @@
     private final Entry.Header header;
     private final Thread writer = new Thread(this::write, "recorder");
     private long lostTold;
+    private int sinceLook;
     private long lastAt;
     private volatile boolean ending;
     private volatile boolean over;
@@ -104,8 +107,11 @@
                 lastAt = place.at;
                 encoder.write(place);
                 ring.release();
-                if (encoder.length() >= FRAME) {
-                    flush();
+                if (++sinceLook >= LOOK) {
+                    sinceLook = 0;
+                    if (encoder.length() >= FRAME) {
+                        flush();
+                    }
                 }
             }
             tellLost();
