--- a/lab/src/main/java/ryemast/lab/cli/CompareCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/CompareCommand.java
@@ -24,15 +24,15 @@
 import ryemast.lab.scenario.ScenarioFile;
 
 /** {@code lab compare}: two choices on the same draws. */
-@Command(name = "compare", description =
-        {"Compares two choices on the same simulated sites, jobs and faults.",
+@Command(name = "compare", description = {
+    "Compares two choices on the same simulated sites, jobs and faults.",
     "A choice is a policy's name (as in lab policies), settings to change (allowed.max_attempts=3,...), an",
-    "operator file (*.toml), or another version of the program (*.jar); module@N is the module with another",
-    "seed, a change of nothing. Stops as soon as it is settled, with false alarms in 5%% of comparisons at "
-    + "most.",
+    "operator file (*.toml), or another version of the program (*.jar). For checks: module@N is the module",
+    "with another seed, a change of nothing; blunder@P has the part P of its picks replaced by chance.",
+    "Stops as soon as it is settled, with false alarms in 5%% of comparisons at most.",
     "Ends with 1 if it was stopped before its end; a broken rule of either is told in its result."},
-        footer = {"", "Examples:", "  lab compare mixed-fleet --a module --b peak-ewma --runs 64 --report "
-        + "out",
+        footer = {"", "Examples:",
+            "  lab compare mixed-fleet --a module --b peak-ewma --runs 64 --report out",
             "  lab compare site.toml --a module --b allowed.second_copies=false --runs 200 --json out.json"})
 final class CompareCommand implements Callable<Integer> {
 
--- a/lab/src/main/java/ryemast/lab/compare/Arm.java
+++ b/lab/src/main/java/ryemast/lab/compare/Arm.java
@@ -62,6 +62,7 @@
             Pattern.compile("([a-z_]+(?:\\[[0-9]+])?(?:\\.[a-z_]+(?:\\[[0-9]+])?)*)=(.+)");
     private static final Pattern STEP = Pattern.compile("([a-z_]+)(?:\\[([0-9]+)])?");
     private static final String RESEEDED = "module@";
+    private static final String BLUNDERING = "blunder@(0|1|0?\\.[0-9]{1,6})";
 
     /** A name, {@code key=value,...}, a file that ends with .toml, or one that ends with .jar. */
     public static Arm of(String spec) throws BadArm {
@@ -72,6 +73,9 @@
         if (spec.startsWith(RESEEDED) && spec.substring(RESEEDED.length()).matches("[0-9]{1,9}")) {
             return reseeded(spec, Long.parseLong(spec.substring(RESEEDED.length())));
         }
+        if (spec.matches(BLUNDERING)) {
+            return blundering(spec, Double.parseDouble(spec.substring(spec.indexOf('@') + 1)));
+        }
         if (spec.endsWith(".toml")) {
             return operator(spec);
         }
@@ -100,6 +104,14 @@
         return new Arm(spec, policy.words(), scenario -> opened(policy, Tuning.DEFAULT));
     }
 
+    /** A planted fault, to see how small a change a comparison finds. */
+    private static Arm blundering(String spec, double share) {
+        var policy = new Policy(spec, "the module, with " + Math.round(share * 1e6) / 1e4
+                + "% of its picks replaced by chance", (settings, seed, truth) ->
+                new Blundering(new Brain(settings, seed), share, seed));
+        return new Arm(spec, policy.words(), scenario -> opened(policy, Tuning.DEFAULT));
+    }
+
     private static Arm operator(String spec) throws BadArm {
         try {
             var file = OperatorFile.read(Path.of(spec));
--- a/lab/src/main/java/ryemast/lab/compare/Trial.java
+++ b/lab/src/main/java/ryemast/lab/compare/Trial.java
@@ -6,9 +6,10 @@
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
+import java.util.function.IntFunction;
 import ryemast.lab.books.Attempt;
 import ryemast.lab.books.History;
 import ryemast.lab.books.MemoryBooks;
@@ -50,9 +51,11 @@
             }
             row.add("over_time", overTime);
             row.add("curve", curve(history));
-            row.add("use", use(result, RunResult.BoxRow::kind));
+            row.add("use", use(result, i -> result.byBox().get(i).kind()));
             if (result.byBox().size() <= FEW_BOXES) {
-                row.add("use_of_boxes", use(result, RunResult.BoxRow::id));
+                // Ids are dealt out anew by each seed; a kind and a speed tell a box that is always there.
+                row.add("use_of_boxes", use(result, i -> String.format(Locale.ROOT, "%s, speed %.2f",
+                        result.byBox().get(i).kind(), scenario.boxes().get(i).speed())));
             }
             return row;
         }
@@ -72,10 +75,12 @@
         return curve;
     }
 
-    private static JsonObject use(RunResult result, Function<RunResult.BoxRow, String> name) {
+    private static JsonObject use(RunResult result, IntFunction<String> name) {
         Map<String, List<Double>> shares = new LinkedHashMap<>();
-        result.byBox().forEach(box -> shares.computeIfAbsent(name.apply(box), k -> new ArrayList<>())
-                .add(box.busyShare()));
+        for (int i = 0; i < result.byBox().size(); i++) {
+            shares.computeIfAbsent(name.apply(i), k -> new ArrayList<>())
+                    .add(result.byBox().get(i).busyShare());
+        }
         var use = new JsonObject();
         shares.forEach((group, of) -> use.addProperty(group,
                 of.stream().mapToDouble(Double::doubleValue).average().orElse(0)));
--- a/lab/src/test/java/ryemast/lab/compare/ComparisonTest.java
+++ b/lab/src/test/java/ryemast/lab/compare/ComparisonTest.java
@@ -11,16 +11,13 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pipitladder.Brain;
-import pipitladder.Dispatcher;
 import ryemast.config.Tuning;
 import ryemast.lab.compare.Comparison.Rows;
 import ryemast.lab.model.Policy;
@@ -60,31 +57,12 @@
         return new Comparison.Plan(seed -> site(seed, seconds), a, b, first, runs, 0.001, true);
     }
 
-    /** Sends so many of all jobs to a worker by chance, where the module has picked one. */
-    private static Arm blundering(double share) {
-        var policy = new Policy("blundering", "", (settings, seed, truth) -> new Dispatcher() {
-            private final Brain brain = new Brain(settings, seed);
-            private final SplittableRandom random = new SplittableRandom(seed);
-            private List<WorkerInfo> workers = List.of();
-
-            @Override
-            public void handle(long now, Event event, Consumer<? super Action> out) {
-                workers = event instanceof WorkerList list && !list.workers().isEmpty() ? list.workers()
-                        : workers;
-                brain.handle(now, event, action -> out.accept(action instanceof Send send
-                        && random.nextDouble() < share ? new Send(send.request(),
-                        workers.get(random.nextInt(workers.size())).id(), send.timeOut()) : action));
-            }
-        });
-        return new Arm("blundering", "", scenario -> new Arm.Opened(policy, Tuning.DEFAULT, () -> { }));
-    }
-
     @Test
     void aPlantedDifferenceIsFoundAndStopsEarly() throws Exception {
-        var done = run(Arm.of("module"), blundering(0.3), 64, 20, 1);
+        var done = run(Arm.of("module"), Arm.of("blunder@0.3"), 64, 20, 1);
         assertEquals(Verdict.Word.A_IS_BETTER, done.verdict().word());
         assertTrue(done.rows().seeds().size() < 64, "runs: " + done.rows().seeds().size());
-        var other = run(blundering(0.3), Arm.of("module"), 64, 20, 1);
+        var other = run(Arm.of("blunder@0.3"), Arm.of("module"), 64, 20, 1);
         assertEquals(Verdict.Word.B_IS_BETTER, other.verdict().word());
         assertEquals(-done.verdict().low(), other.verdict().high(), 1e-12);
     }
