--- a/lab/src/main/java/ryemast/lab/cli/FitCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/FitCommand.java
@@ -53,6 +53,9 @@
         if (!name.endsWith(ENDING)) {
             throw new BadCall("--out: " + out + ": expected a name that ends with " + ENDING);
         }
+        if (Files.isDirectory(scenario)) {
+            throw new BadCall("--out: " + out + ": is a folder; expected the name of a file");
+        }
         JsonFile.check(scenario);
         Fitted fitted;
         try {
--- a/lab/src/main/java/ryemast/lab/cli/JsonFile.java
+++ b/lab/src/main/java/ryemast/lab/cli/JsonFile.java
@@ -27,7 +27,7 @@
     static void check(Path file) throws BadCall {
         var folder = file.getParent();
         if (Files.isDirectory(file)) {
-            throw new BadCall(file + ": is a folder; expected the name of a file");
+            throw new BadCall(file + ": is a folder; --json needs the name of a file");
         }
         if (folder == null || !Files.isDirectory(folder)) {
             throw new BadCall(file + ": the folder " + folder + " does not exist");
--- a/lab/src/main/java/ryemast/lab/fit/DemandTables.java
+++ b/lab/src/main/java/ryemast/lab/fit/DemandTables.java
@@ -40,9 +40,10 @@
         this.speeds = speeds;
         this.mishaps = mishaps;
         this.first = first;
-        for (var run : runs) {
+        var of = runs.stream().filter(run -> speeds.tells(run) && run.outcome != Outcome.ERROR).toList();
+        for (var run : Runs.onePerJob(of, seen.length())) {
             // An error may come at any time of a run, so that its length says nothing of the job's cost.
-            if (speeds.tells(run) && !mishaps.isHeavy(run) && run.outcome != Outcome.ERROR) {
+            if (!mishaps.isHeavy(run)) {
                 samples.computeIfAbsent(run.job.jobClass, c -> new ArrayList<>())
                         .add(new Sample(speeds.work(run), run.done()));
             }
--- a/lab/src/main/java/ryemast/lab/fit/Fitter.java
+++ b/lab/src/main/java/ryemast/lab/fit/Fitter.java
@@ -45,7 +45,7 @@
         runs = Runs.of(seen, platform.tellsStarts());
         speeds = new Speeds(seen, runs, platform.coldFor());
         hintSigma = hintSigma();
-        mishaps = new Mishaps(seen, speeds, runs, hintSigma.value());
+        mishaps = new Mishaps(seen, speeds, runs);
         behaviour = Tries.behaviour(seen.jobs(), seen.length());
     }
 
--- a/lab/src/main/java/ryemast/lab/fit/Mishaps.java
+++ b/lab/src/main/java/ryemast/lab/fit/Mishaps.java
@@ -1,7 +1,6 @@
 package ryemast.lab.fit;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +9,7 @@
 import pipitladder.Dispatcher.WorkerState;
 import ryemast.lab.fit.Seen.Attempt;
 import ryemast.lab.fit.Seen.Box;
+import ryemast.lab.fit.Seen.Request;
 
 /** What went wrong: boxes by what discovery said and how attempts ended, classes by spells in their jobs. */
 final class Mishaps {
@@ -17,7 +17,7 @@
     private static final double SECOND = 1e6;
     /** Discovery tells of a silent death so late at most. */
     private static final long TOLD_LATE = 30_000_000;
-    /** A hint's error this many sigmas off, and work this many times its hint, is a heavy job. */
+    /** So many sigmas, and so many times, over what is to be expected of its hint is a heavy job. */
     private static final double SIGMAS = 3.1;
     private static final double HEAVY = 2.5;
     /** A spell in so many jobs of all is no spell but how the class is. */
@@ -26,17 +26,15 @@
     private final Seen seen;
     private final Speeds speeds;
     private final List<Attempt> runs;
-    private final double hintSigma;
     private final List<Mishap> found = new ArrayList<>();
-    private final Set<Attempt> heavy = new HashSet<>();
+    private final Set<Request> heavy = new HashSet<>();
     /** When a box was down, by what was found: its failures then are no fault of their own. */
     private final List<Mishap> down = new ArrayList<>();
 
-    Mishaps(Seen seen, Speeds speeds, List<Attempt> runs, double hintSigma) {
+    Mishaps(Seen seen, Speeds speeds, List<Attempt> runs) {
         this.seen = seen;
         this.speeds = speeds;
         this.runs = runs;
-        this.hintSigma = Double.isNaN(hintSigma) ? 0.5 : hintSigma;
         seen.boxes().forEach(this::lives);
         for (var each : speeds.slow()) {
             found.add(Mishap.of("slow", each.box(), each.fromS(), lasts(each.fromS(), each.untilS()),
@@ -60,7 +58,7 @@
 
     /** Runs that belong to a spell of heavy jobs: they say nothing of how the class is otherwise. */
     boolean isHeavy(Attempt run) {
-        return heavy.contains(run);
+        return heavy.contains(run.job.first);
     }
 
     private static Figure lasts(Figure from, Figure until) {
@@ -142,30 +140,26 @@
 
     /** Jobs of a class that cost a multiple of their hints, in a stretch of time. */
     private void heavy(int jobClass, int classes) {
-        var of = runs.stream().filter(run -> run.job.jobClass == jobClass && speeds.tells(run)
-                && (!speeds.hinted() || run.job.hint > 0)).sorted(Comparator.comparingLong(run -> run.job.at))
-                .toList();
-        double usual = speeds.hinted() ? 0 : Stats.median(of.stream().mapToDouble(run ->
-                Math.log(speeds.work(run))).toArray(), "").value();
-        var excesses = of.stream().mapToDouble(run -> Math.log(speeds.work(run))
-                - (speeds.hinted() ? Math.log(run.job.hint) : usual)).toArray();
-        double bar = Math.max(Math.log(HEAVY), SIGMAS * hintSigma);
-        if (!speeds.hinted()) {
-            var sorted = excesses.clone();
-            Arrays.sort(sorted);
-            bar = Math.max(bar, Stats.quantile(sorted, 0.99));
-        }
+        var telling = runs.stream().filter(run -> run.job.jobClass == jobClass && speeds.tells(run)
+                && (!speeds.hinted() || run.job.hint > 0)).toList();
+        var of = Runs.onePerJob(telling, seen.length()).stream()
+                .sorted(Comparator.comparingLong(run -> run.job.first.at)).toList();
+        // Over what is to be expected of its hint, not over the hint: under load a dispatcher takes jobs with
+        // small hints, and those mostly cost more than their hints say.
+        var excesses = of.stream().mapToDouble(speeds::excess).toArray();
+        double spread = Stats.sigma(excesses, "").value();
+        double bar = Math.max(Math.log(HEAVY), SIGMAS * (Double.isNaN(spread) ? 0.5 : spread));
         // A run that was cut short below the bar may have become either.
-        var telling = new ArrayList<Integer>();
+        var certain = new ArrayList<Integer>();
         for (int i = 0; i < of.size(); i++) {
             if (of.get(i).done() || excesses[i] > bar) {
-                telling.add(i);
+                certain.add(i);
             }
         }
-        var at = telling.stream().mapToDouble(i -> of.get(i).job.at / SECOND).toArray();
+        var at = certain.stream().mapToDouble(i -> of.get(i).job.first.at / SECOND).toArray();
         var hit = new boolean[at.length];
         for (int i = 0; i < hit.length; i++) {
-            hit[i] = excesses[telling.get(i)] > bar;
+            hit[i] = excesses[certain.get(i)] > bar;
         }
         for (var spell : Scan.find(at, hit, classes, "jobs of the class")) {
             if (spell.share().samples() > MOST_OF_TIME * at.length) {
@@ -174,13 +168,13 @@
             var sizes = new ArrayList<Double>();
             for (int i = 0; i < hit.length; i++) {
                 if (hit[i] && spell.holds(at[i])) {
-                    sizes.add(Math.exp(excesses[telling.get(i)]));
-                    heavy.add(of.get(telling.get(i)));
+                    sizes.add(Math.exp(excesses[certain.get(i)]));
+                    heavy.add(of.get(certain.get(i)).job.first);
                 }
             }
             var sorted = sizes.stream().mapToDouble(Double::doubleValue).sorted().toArray();
-            long cut = telling.stream().filter(i -> excesses[i] > 0 && !of.get(i).done()
-                    && spell.holds(of.get(i).job.at / SECOND)).count();
+            long cut = certain.stream().filter(i -> excesses[i] > 0 && !of.get(i).done()
+                    && spell.holds(of.get(i).job.first.at / SECOND)).count();
             found.add(Mishap.of("heavy", null, spell.fromS(), lasts(spell.fromS(), spell.untilS()),
                     "its jobs cost a multiple of their hints"
                     + (cut == 0 ? "" : "; " + cut + " of them were cut "
--- a/lab/src/main/java/ryemast/lab/fit/Runs.java
+++ b/lab/src/main/java/ryemast/lab/fit/Runs.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import ryemast.lab.fit.Seen.Attempt;
 import ryemast.lab.fit.Seen.Box;
+import ryemast.lab.fit.Seen.Request;
 
 /**
  * The runs at boxes that were seen: from the word that a job has started to its end. Where boxes don't tell
@@ -32,6 +34,19 @@
         return runs;
     }
 
+    /**
+     * One run for each job, as copies and further tries of one cost the same and mostly follow a heavy one:
+     * its first that came to its end, or else the one that was seen for longest.
+     */
+    static List<Attempt> onePerJob(List<Attempt> runs, long end) {
+        var best = new LinkedHashMap<Request, Attempt>();
+        for (var run : runs) {
+            best.merge(run.job.first, run, (one, other) -> one.done() || !other.done()
+                    && one.ran(end) >= other.ran(end) ? one : other);
+        }
+        return List.copyOf(best.values());
+    }
+
     private static void alone(Box box, long end) {
         long busyUntil = Long.MIN_VALUE;
         for (int i = 0; i < box.attempts.size(); i++) {
--- a/lab/src/main/java/ryemast/lab/fit/Seen.java
+++ b/lab/src/main/java/ryemast/lab/fit/Seen.java
@@ -42,6 +42,8 @@
         Request next;
         /** Its number among the tries of its job, from 0. */
         int tryNumber;
+        /** The first try of its job, itself where it is that. */
+        Request first = this;
 
         Request(int source, long at, int jobClass, int tenant, double slots, double memory, long hint,
                 long timeLeft) {
--- a/lab/src/main/java/ryemast/lab/fit/Speeds.java
+++ b/lab/src/main/java/ryemast/lab/fit/Speeds.java
@@ -110,6 +110,11 @@
         return run.ran(seen.length()) * Math.exp(logAt(run.box, run.startedAt) + crowding(run));
     }
 
+    /** The logarithm of the run's cost over what was to be expected. */
+    double excess(Attempt run) {
+        return Math.log(work(run)) - expected.of(run);
+    }
+
     /** Whether the run's time tells of its cost. */
     boolean tells(Attempt run) {
         long started = run.box.startedBy(run.startedAt);
--- a/lab/src/main/java/ryemast/lab/fit/Tries.java
+++ b/lab/src/main/java/ryemast/lab/fit/Tries.java
@@ -51,6 +51,7 @@
                         && Math.abs(each.deadline() - job.deadline()) <= SAME_DEADLINE) {
                     each.next = job;
                     job.tryNumber = each.tryNumber + 1;
+                    job.first = each.first;
                     break;
                 }
             }
