--- a/decisions/src/main/java/ryemast/health/Silence.java
+++ b/decisions/src/main/java/ryemast/health/Silence.java
@@ -63,7 +63,7 @@
         return startsTold && job.startedAt == 0;
     }
 
-    /** Whether a sign that every running job gives has stayed out; where none are told, silence says nothing. */
+    /** Whether a sign that every running job gives has stayed out; where none are told, that says nothing. */
     boolean isUnheard(Awaited job, long now) {
         return awaitsStart(job) || progressInterval > 0 && startsTold
                 && health.heardSince(Math.max(job.startedAt, job.progressAt), now) * SECOND
--- a/lab/src/main/java/ryemast/lab/cli/JsonFile.java
+++ b/lab/src/main/java/ryemast/lab/cli/JsonFile.java
@@ -23,7 +23,8 @@
         }
     }
 
-    private static void check(Path file) throws BadCall {
+    /** Whether a file of that name can be written. */
+    static void check(Path file) throws BadCall {
         var folder = file.getParent();
         if (Files.isDirectory(file)) {
             throw new BadCall(file + ": is a folder; --json needs the name of a file");
