--- a/lab/src/main/java/ryemast/lab/fit/Fitter.java
+++ b/lab/src/main/java/ryemast/lab/fit/Fitter.java
@@ -72,7 +72,8 @@
                 seen.length() / SECOND,
                 first.size(), seen.boxes().size());
         top.text("title", title, "");
-        double lastJob = first.get(first.size() - 1).at / SECOND;
+        // Up to the next tenth of a second, so that the last job is within it.
+        double lastJob = (first.get(first.size() - 1).at / 100_000 + 1) / 10.0;
         top.number("length_s", Math.max(0.1, Math.min(86_400, lastJob)), "until the last job came");
         top.number("resolution_ms", platform.number("resolution", 5_000) / MS, "");
         var zones = platform.names("areas");
--- a/lab/src/test/java/ryemast/lab/fit/FitterTest.java
+++ b/lab/src/test/java/ryemast/lab/fit/FitterTest.java
@@ -20,6 +20,11 @@
 import pipitladder.Dispatcher.WorkerState;
 import ryemast.core.Observer.Answer;
 import ryemast.core.Submission;
+import ryemast.config.Tuning;
+import ryemast.lab.books.JobStory;
+import ryemast.lab.books.MemoryBooks;
+import ryemast.lab.model.ModelSite;
+import ryemast.lab.model.policy.Policies;
 import ryemast.lab.scenario.Scenario;
 import ryemast.lab.scenario.ScenarioFile;
 import ryemast.lab.site.Arrivals;
@@ -185,6 +190,16 @@
         assertEquals(fitted.replay().jobs().size(), drawn.load().replay().jobs().size());
         assertEquals(4, drawn.boxes().size());
         assertEquals(2, drawn.boxes().get(0).cores());
+        var books = new MemoryBooks();
+        new ModelSite(drawn, Policies.MODULE, Tuning.DEFAULT, books.tries(), books).run(() -> false);
+        var played = books.read().jobs().stream().map(JobStory::job).toList();
+        assertEquals(fitted.replay().jobs().size(), played.size());
+        for (int i = 0; i < played.size(); i++) {
+            var job = drawn.load().replay().jobs().get(i);
+            assertEquals(job.hint() + " " + job.work() + " " + job.jobClass() + " " + job.tenant(),
+                    played.get(i).hint() + " " + played.get(i).work() + " " + played.get(i).jobClass() + " "
+                    + played.get(i).tenant());
+        }
         Files.write(file, Arrays.copyOf(bytes, 5));
         assertThrows(IOException.class, () -> Fitter.fit(List.of(recording), false));
     }
