--- a/lab/src/main/java/ryemast/lab/cli/LoadCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/LoadCommand.java
@@ -122,8 +122,8 @@
 
     private int search(LoadRuns runs, LoadPlan plan, LatencyGoal goal, JsonFile json, Stop stop)
             throws BadCall, IOException {
-        var table = new Table("rate/s", "served/s", "p50 ms", "p99 ms", "p99.9 ms", "busy", "late ms",
-                "goal");
+        var table = new Table("rate/s", "served/s", "p50 ms", "p99 ms", "p99.9 ms", "busy",
+                "late ms", "goal");
         if (!options.quiet) {
             System.err.println(table.headLine());
         }
--- a/lab/src/main/java/ryemast/lab/cli/LoadOptions.java
+++ b/lab/src/main/java/ryemast/lab/cli/LoadOptions.java
@@ -49,8 +49,8 @@
             description = "What all chance is drawn from (${DEFAULT-VALUE}).")
     long seed;
 
-    @Option(names = "--logs", paramLabel = "DIR", description =
-            "Where the dispatchers' logs go; else nowhere.")
+    @Option(names = "--logs", paramLabel = "DIR",
+            description = "Where the dispatchers' logs go; else nowhere.")
     Path logs;
 
     @Option(names = "--json", paramLabel = "FILE", description = "Where the result goes as JSON.")
@@ -74,9 +74,8 @@
 
     static void within(String option, double value, double least, double most) throws BadCall {
         if (!(value >= least && value <= most)) {
-            throw new BadCall(option + ": " + plain(value) + " is out of range; expected " + plain(least)
-                    + " to "
-                    + plain(most));
+            throw new BadCall(option + ": " + plain(value) + " is out of range; expected "
+                    + plain(least) + " to " + plain(most));
         }
     }
 
--- a/lab/src/main/java/ryemast/lab/cli/LoadWords.java
+++ b/lab/src/main/java/ryemast/lab/cli/LoadWords.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Locale;
+import ryemast.lab.load.Latency;
 import ryemast.lab.load.LatencyGoal;
 import ryemast.lab.load.LoadResult;
 import ryemast.lab.load.RateSearch.Found;
@@ -14,6 +15,7 @@
 
     private static final double PERCENT = 100;
     private static final double MICROS_PER_MS = 1e3;
+    private static final double MUCH_STOLEN = 0.02;
 
     private LoadWords() {
     }
@@ -47,6 +49,11 @@
                 + percent(m.busy()) + " of its core, " + number(result.rssMb(), 0) + " MB at most");
         lines.add("  emulator  late by " + number(result.emulatorLateMs(), 1)
                 + " ms at most in 99.9% of cases");
+        if (m.stolen() > MUCH_STOLEN) {
+            lines.add("  machine   " + percent(m.stolen())
+                    + " of it was taken by its host for others: "
+                    + "figures on a quiet one are better");
+        }
         faults(result, lines);
         return String.join("\n", lines);
     }
@@ -89,9 +96,9 @@
 
     static void step(Table table, Step<LoadResult> step) {
         var m = step.detail().measured();
-        table.row(Math.round(step.rate()), Math.round(m.servedPerSecond()), bare(m.latency().percentile(50)),
-                bare(m.latency().percentile(99)), bare(m.latency().percentile(99.9)), percent(m.busy()),
-                number(step.detail().emulatorLateMs(), 1),
+        table.row(Math.round(step.rate()), Math.round(m.servedPerSecond()), cell(m.latency(), 50),
+                cell(m.latency(), 99), cell(m.latency(), 99.9), percent(m.busy()),
+                number(step.detail().emulatorLateMs(), 1), 
                 word(step.verdict()) + (step.repeated() ? " (again)" : ""));
     }
 
@@ -107,8 +114,7 @@
         if (found.rate() == 0) {
             return found.failedAt() == 0 ? "nothing was found: the search ended before its first step did"
                     : goal + " holds at no rate tried, down to " + number(found.failedAt(), 0)
-                    + " jobs a second"
-                    + (found.emulatorLimited() 
+                    + " jobs a second" + (found.emulatorLimited()
                             ? "; the emulator was late, so this says nothing of the dispatcher" : "");
         }
         return goal + " holds up to " + number(found.rate(), 0) + " jobs a second"
@@ -126,10 +132,15 @@
         return bare(micros) + " ms";
     }
 
-    static String bare(long micros) {
+    private static String bare(long micros) {
         return number(micros / MICROS_PER_MS, 1);
     }
 
+    /** In milliseconds, as a cell of a table; where nothing was served there is none. */
+    static String cell(Latency latency, double percentile) {
+        return latency.count() == 0 ? "-" : bare(latency.percentile(percentile));
+    }
+
     static String number(double value, int digits) {
         return String.format(Locale.ROOT, "%." + digits + "f", value);
     }
--- a/lab/src/test/java/ryemast/lab/cli/VerdictTest.java
+++ b/lab/src/test/java/ryemast/lab/cli/VerdictTest.java
@@ -26,10 +26,9 @@
             latency.served(micros);
         }
         var plan = new LoadPlan(10, 1, 100, 10, 1, 5, 1, 0, 0, 0, 0, 0, true, 1);
-        var measured = new Measured(10, asked, asked, 0, 0, 0, asked, latency, Math.round(busy * CORE));
+        var measured = new Measured(10, asked, asked, 0, 0, 0, asked, latency, Math.round(busy * CORE), 0);
         return new LoadResult(plan, plan.room(), false, new JsonObject(), measured, 60, 1, counts, broken,
-                died,
-                "", false);
+                died, "", false);
     }
 
     private static Verdict verdict(LoadResult run) {
