Let the lab's orderly restarts be SIGTERMs: the watcher had killed the dispatcher

Process.destroy closes the pipes as well, and the watcher on the pipe then kills the program outright, so that an orderly restart was a SIGKILL.

--- a/lab/src/main/java/ryemast/lab/sockets/DispatcherProcess.java
+++ b/lab/src/main/java/ryemast/lab/sockets/DispatcherProcess.java
@@ -215,7 +215,8 @@
         if (isAlive()) {
             ordered = true;
             changed(DispatcherState.TOLD_TO_END, clock.now());
-            current.process.destroy();
+            // By the handle: the process itself would close its pipes, too, and its watcher would kill it.
+            current.process.toHandle().destroy();
         }
     }
 
