--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -22,7 +22,7 @@
 final class Service {
 
     private static final Logger LOG = Logger.getLogger(Service.class.getName());
-    /** Guards against a rehearsal that fails: clients are let in without one. */
+    /** Guards the build against a rehearsal that fails: the command of that name ends without one. */
     private static final long LONGEST_REHEARSAL = 2_000_000;
 
     private final Config config;
--- a/lab/src/test/java/ryemast/lab/sockets/EmulatedSiteIT.java
+++ b/lab/src/test/java/ryemast/lab/sockets/EmulatedSiteIT.java
@@ -81,6 +81,24 @@
         }
     }
 
+    /** SIGTERM and not SIGKILL: the dispatcher says that it ends, and nothing that it had taken is lost. */
+    @Test
+    void aDispatcherToldToEndAnswersWhatItHasAndComesBack() throws Exception {
+        var plan = new Plan().fault(FaultKind.DISPATCHER_RESTART, 0.7, 0, 0);
+        plan.length = 4 * Plan.SECOND;
+        plan.work = 300_000;
+        plan.retries = 100;
+        try (var site = site(plan)) {
+            assertEquals(Ending.DONE, run(site, progress -> { }));
+            keepsTheRules(site);
+            var states = site.books().read().dispatcher(0).stream().map(each -> each.state()).toList();
+            assertTrue(states.contains(DispatcherState.TOLD_TO_END), states::toString);
+            assertEquals(DispatcherState.READY, states.get(states.size() - 1));
+        }
+        var log = Files.readString(folder.resolve("dispatcher-0.log"));
+        assertTrue(log.contains("ended: all is answered"), log);
+    }
+
     @Test
     void aDispatcherThatDiesEndsTheRunAndItsLastLinesAreKept() throws Exception {
         var plan = new Plan();
