Notice a dead watch after 3.2 s and ask again at once: an incident had broken the drain rule

Its log: the first watch on discovery never said a word, which was noticed after 6.5 s; the next one ended, and the module asked again 2.5 to 5 s later by its stagger. What discovery has to tell counts as told 6 s later even so. At fault were TableTuning's silence of three beats and Brain.ask's pause after a failure; ruled out: the order of events in the exchange and the grace in the module (sends were by the list that it had).

Silence is noticed after 3.2 s, a connection to discovery may take 1 s, and a failure is followed by a pause of 0.1 s, doubled with each more in a row up to the former one, more with many dispatchers.

--- a/app/src/main/java/ryemast/operator/Key.java
+++ b/app/src/main/java/ryemast/operator/Key.java
@@ -58,9 +58,9 @@
     PATIENCE_MS("regions.patience_ms", 2000, 100, 60_000, "its connection could carry other calls",
             "How long a worker's answer is awaited that no job waits for any more."),
 
-    SILENCE_MS("service_table.silence_ms", 6500, 2500, 600_000, "a sound watch speaks every 2 s",
+    SILENCE_MS("service_table.silence_ms", 3200, 2500, 600_000, "a sound watch speaks every 2 s",
             "A watch that says nothing for so long has failed; it is begun anew."),
-    TABLE_CONNECT_LIMIT_MS("service_table.connect_limit_ms", 5000, 100, 60_000,
+    TABLE_CONNECT_LIMIT_MS("service_table.connect_limit_ms", 1000, 100, 60_000,
             "the list grows old meanwhile", "How long the connection to discovery may take to come up."),
     LONGEST_LINE_BYTES("service_table.longest_line_bytes", 1 << 20, 4096, 16 << 20,
             "a worker takes some 150 bytes, and memory is short",
--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -54,6 +54,8 @@
     private static final double SURELY = 0.7;
     /** So sure, it is given up. */
     private static final double CERTAINLY = 0.95;
+    /** Of the time within which the list must be asked: until it is asked again after one failure; then doubled. */
+    private static final double FIRST_PAUSE = 0.005;
     /** A dispatcher keeps to this many times its candidates: its own sight and connections stay fresh. */
     private static final int POOL = 2;
 
@@ -68,6 +70,7 @@
     private List<Worker> far = List.of();
     private double topAppeal;
     private long draws;
+    private int failedAsks;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<Integer, Worker> byCode = new LinkedHashMap<>();
     private final Map<Long, Job> jobs = new LinkedHashMap<>();
@@ -77,7 +80,7 @@
     private final Health health;
     private final Ledger.Estimate fleetSpeed = new Ledger.Estimate();
     private final Ledger.Estimate jobWork = new Ledger.Estimate();
-    private final List<Ledger.Credit> credits;
+    private final Ledger.Shares shares;
     private final Map<String, Alarm> armed = new LinkedHashMap<>();
     private final Set<Job> gathered = new LinkedHashSet<>();
     private double meanWeight = 1;
@@ -104,7 +107,7 @@
         asksWorkers = settings.limits().probes() && !settings.reportFields().isEmpty()
                 && settings.dispatchers() > 1;
         spread = asksWorkers ? Double.MAX_VALUE : Math.pow(unseen, 2.0 / 3);
-        credits = settings.tenants().stream().map(tenant -> new Ledger.Credit()).toList();
+        shares = new Ledger.Shares(settings.tenants(), settings.dispatchers());
     }
 
     /** What is believed of the workers, and why jobs were not served. */
@@ -157,22 +160,13 @@
         require(!jobs.containsKey(request.id()), "request " + request.id() + " was given twice");
         int number = request.jobClass();
         require(number >= 0 && number < settings.classes().size(), "unknown class " + number);
-        var job = new Job(request, settings.classes().get(number), now, overShare(request.tenant()));
+        var job = new Job(request, settings.classes().get(number), now, shares.over(request.tenant(), now));
         jobs.put(request.id(), job);
         jobWork.learn(job.work, MEMORY);
         probeFor(job);
         gather(job);
     }
 
-    /** Whether this dispatcher's part of the tenant's quota is used up; four seconds' burst is let pass. */
-    private boolean overShare(int tenant) {
-        if (tenant < 0 || tenant >= credits.size()) {
-            return false;
-        }
-        double rate = settings.tenants().get(tenant).quotaPerSecond() / settings.dispatchers();
-        return !credits.get(tenant).take(now, rate, Math.max(4, 4 * rate));
-    }
-
     private void gather(Job job) {
         gathered.add(job);
         arm("tick", period, this::placeRound);
@@ -658,6 +652,7 @@
     }
 
     private void follow(WorkerList list) {
+        failedAsks = list.kind() == ListKind.FAILED ? failedAsks + 1 : 0;
         if (list.kind() == ListKind.FAILED || list.kind() == ListKind.CACHED && !settings.listPushed()) {
             ask(list.kind() == ListKind.FAILED);
         }
@@ -699,7 +694,8 @@
     private void ask(boolean again) {
         double others = settings.dispatchers() - 1;
         double turn = (settings.self() + random.nextDouble()) / settings.dispatchers();
-        double part = again ? (1 + random.nextDouble()) / 4 : turn * others / (others + workers.size());
+        double pause = Math.min(0.25, FIRST_PAUSE * Math.scalb(settings.dispatchers(), Math.min(9, failedAsks)));
+        double part = again ? pause * (1 + random.nextDouble()) : turn * others / (others + workers.size());
         arm("ask", 1 + (long) (settings.rules().askEvery() * part), () -> out.accept(new Subscribe()));
     }
 }
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -85,6 +85,28 @@
         }
     }
 
+    /** What each tenant has used up of its quota, of which each dispatcher has an equal part. */
+    static final class Shares {
+        private final List<Dispatcher.Tenant> tenants;
+        private final int dispatchers;
+        private final List<Credit> credits;
+
+        Shares(List<Dispatcher.Tenant> tenants, int dispatchers) {
+            this.tenants = tenants;
+            this.dispatchers = dispatchers;
+            credits = tenants.stream().map(tenant -> new Credit()).toList();
+        }
+
+        /** Whether this request is beyond its tenant's part; four seconds' burst is let pass. */
+        boolean over(int tenant, long now) {
+            if (tenant < 0 || tenant >= credits.size()) {
+                return false;
+            }
+            double rate = tenants.get(tenant).quotaPerSecond() / dispatchers;
+            return !credits.get(tenant).take(now, rate, Math.max(4, 4 * rate));
+        }
+    }
+
     /** A worker, this dispatcher's work there, and the evidence about it. */
     static final class Worker {
         final String id;
--- a/decisions/src/test/java/pipitladder/BrainTest.java
+++ b/decisions/src/test/java/pipitladder/BrainTest.java
@@ -330,17 +330,26 @@
     }
 
     @Test
-    void theListIsAskedAndAskedAgainLaterAfterEachFailure() {
+    void theListIsAskedAgainSoonAfterAFailureAndLaterAfterEachMore() {
         var classes = List.of(Stage.jobClass(Effect.REPEATABLE, KeyScope.ALL));
         var stage = new Stage(Stage.settings(classes, List.of(), false, true, 1));
         stage.tell(new WorkerList(ListKind.CACHED, List.of(worker("a"))));
         stage.pass(2 * S);
         assertEquals(1, stage.all(Subscribe.class).size());
+        // A drain counts as told some seconds after it is listed, whether this call brought it or not.
+        long asked = 1;
+        for (int failures = 1; failures <= 8; failures++) {
+            stage.tell(new WorkerList(ListKind.FAILED, List.of()));
+            long least = Math.min(2500, 50 << failures) * MS;
+            stage.pass(least - 10 * MS);
+            assertEquals(asked, stage.all(Subscribe.class).size(), failures + " failures");
+            stage.pass(least + 20 * MS);
+            assertEquals(++asked, stage.all(Subscribe.class).size(), failures + " failures");
+        }
+        stage.tell(new WorkerList(ListKind.CHANGES, List.of()));
         stage.tell(new WorkerList(ListKind.FAILED, List.of()));
-        stage.pass(500 * MS);
-        assertEquals(1, stage.all(Subscribe.class).size());
-        stage.pass(10 * S);
-        assertEquals(2, stage.all(Subscribe.class).size());
+        stage.pass(220 * MS);
+        assertEquals(asked + 1, stage.all(Subscribe.class).size());
         assertEquals("a", stage.place(1));
     }
 
