--- a/app/src/main/java/ryemast/Main.java
+++ b/app/src/main/java/ryemast/Main.java
@@ -57,7 +57,8 @@
 
     private static int start(boolean alone, String operator) {
         try {
-            // Alone, too, it passes by the operator's part: the build's archive is to hold what a start loads.
+            // Alone, too, it passes by the operator's part: the build's archive is to hold what a start
+            // loads.
             var tuning = Operator.tuning(operator, alone ? Map.of() : System.getenv());
             Logs.setUp(tuning.log());
             var service = new Service(alone ? Config.alone() : Config.read(System.getenv(), tuning));
--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -1,16 +1,21 @@
 package ryemast;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.logging.Logger;
 import pipitladder.Brain;
 import ryemast.config.Config;
 import ryemast.config.ConfigException;
 import ryemast.config.Tuning;
+import ryemast.consul.ConsulTable;
 import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
+import ryemast.core.Members;
 import ryemast.core.Note;
+import ryemast.membership.Membership;
 import ryemast.net.Addresses;
+import ryemast.net.Routes;
 import ryemast.net.Transport;
 import ryemast.net.region.RegionPool;
 import ryemast.net.servicetable.TableWatch;
@@ -35,12 +40,18 @@
     private final Exchange exchange;
     private final Transport transport;
     private final TerminalServer terminals;
+    private final Members members;
     private final TableWatch table;
+    /** Null where the workers come from the platform's discovery. */
+    private final ConsulTable catalogue;
     /** Ends what looks on, if anything does. */
     private AutoCloseable recording = () -> { };
     private long drainingSince;
+    /** The catalogue has been asked to take us off. */
+    private boolean left;
 
-    Service(Config config) {
+    /** A {@link ConfigException} names a file of the operator's that can't be used. */
+    Service(Config config) throws ConfigException {
         this.config = config;
         var settings = config.settings();
         loop = new Loop(new Clock()::now, settings.resolution());
@@ -49,13 +60,31 @@
         exchange = new Exchange(loop, new Brain(settings, config.seed()), room.jobs(),
                 settings.limits().maxAttempts(), config.grace(), tuning.limits().namesRemembered());
         transport = new Transport();
-        table = new TableWatch(loop, exchange, transport, config.discovery(), config.tableReader(),
+        members = new Members(loop, exchange, new Membership(tuning.members()));
+        table = new TableWatch(loop, members, transport, config.discovery(), config.tableReader(),
                 tuning.table());
-        var pool = new RegionPool(loop, exchange, transport, table::address,
+        var pool = new RegionPool(loop, exchange, transport, new Routes(members::address),
                 config.connectLimit(), config.connIdle(), room.regions(), tuning.regions());
         terminals = new TerminalServer(loop, exchange, transport,
                 new JobReader(config.lanes(), config.orgs()), room.terminals(), tuning.terminals());
-        exchange.connect(pool, table);
+        catalogue = tuning.consul() == null ? null : Catalogue.of(config, loop, transport, members);
+        if (catalogue == null) {
+            exchange.connect(pool, table);
+        } else {
+            exchange.connect(pool, catalogue);
+            exchange.tellVitals(members);
+        }
+        if (tuning.drained() != null) {
+            members.drain(drained());
+        }
+    }
+
+    private Map<String, String> drained() throws ConfigException {
+        try {
+            return Drained.read(config.tuning().drained());
+        } catch (IOException e) {
+            throw new ConfigException("membership.drained_file: " + e.getMessage());
+        }
     }
 
     /** Serves until a signal ends it, or only until it could let clients in. */
@@ -67,7 +96,7 @@
         if (config.tuning().recording() != null && !onlyUntilReady) {
             recording = Recording.begin(config, exchange, loop);
         }
-        loop.post(() -> table.begin(config.known()));
+        loop.post(catalogue != null ? catalogue::begin : () -> table.begin(config.known()));
         var address = terminals.listen(config.listen());
         // Clients may come at once: a restart leaves them without a dispatcher, and that a first job waits
         // for the classes on its way costs it less than the rehearsal would cost all who find nobody.
@@ -94,11 +123,34 @@
      * file read last is also the one followed.
      */
     private synchronized void reload() {
+        if (config.tuning().drained() != null) {
+            reload("the file of drained workers", () -> {
+                var drained = drained();
+                loop.post(() -> members.drain(drained));
+            });
+        }
+        if (catalogue != null) {
+            reload("the token", () -> {
+                var token = Catalogue.token(config);
+                loop.post(() -> catalogue.token(token));
+            });
+        } else {
+            reload("the new configuration", () -> {
+                var next = Config.readAgain(System.getenv(), config.tuning());
+                loop.post(() -> table.moveTo(next.discovery()));
+            });
+        }
+    }
+
+    private interface Reload {
+        void run() throws ConfigException;
+    }
+
+    private static void reload(String what, Reload reload) {
         try {
-            var next = Config.readAgain(System.getenv(), config.tuning());
-            loop.post(() -> table.moveTo(next.discovery()));
+            reload.run();
         } catch (ConfigException | RuntimeException e) {
-            LOG.warning("the new configuration is not used: " + e.getMessage());
+            LOG.warning(what + " is not used: " + e.getMessage());
         }
     }
 
@@ -115,6 +167,9 @@
             Note.info(LOG, "ending: {open} transactions to answer", "open", exchange.open());
             drainingSince = loop.now();
             terminals.drain();
+            if (catalogue != null) {
+                catalogue.drain();
+            }
             endWhenQuiet();
         }
     }
@@ -126,6 +181,12 @@
             terminals.closeResting(ending.rest());
         }
         if (since >= ending.least() && exchange.open() == 0 && terminals.isQuiet()) {
+            if (catalogue != null && !left) {
+                // Jobs may come meanwhile: it is quiet only if it still is once the catalogue has been told.
+                left = true;
+                catalogue.leave(this::endWhenQuiet);
+                return;
+            }
             LOG.info("ended: all is answered");
             loop.end();
             return;
--- a/app/src/main/java/ryemast/config/Config.java
+++ b/app/src/main/java/ryemast/config/Config.java
@@ -24,6 +24,7 @@
  * The one place where configuration is read, checked and given defaults: the environment names the file and
  * may say anew where to listen and where discovery is; all else is in the file.
  *
+ * @param discovery  null where it is not needed, as the operator has chosen another catalogue
  * @param lanes     names of the classes, in the module's order
  * @param orgs      names of the tenants
  * @param connectLimit  how long a connection to a worker may take to come up, in microseconds
@@ -120,7 +121,7 @@
             var limits = optional(file, "limits", "limits");
             var otherwise = tuning.unsaid();
             return new Config(name(), address("BALANCER_LISTEN", "listen", otherwise.listen()),
-                    address("BALANCER_DISCOVERY", "discovery", otherwise.discovery()), seed(),
+                    discovery(otherwise.discovery()), seed(),
                     (int) number(limits, "sockets", "limits.sockets", otherwise.sockets(), LEAST_SOCKETS),
                     settings, names(raw, "categories"), names(raw, "parties"), reader, known(reader),
                     (long) number(allowed, "connect_timeout", "settings.allowed.connect_timeout",
@@ -197,6 +198,13 @@
             }
         }
 
+        /** Null where nobody names one, and none is needed as another catalogue takes its place. */
+        private InetSocketAddress discovery(InetSocketAddress otherwise) throws ConfigException {
+            boolean none = otherwise == null && tuning.consul() != null && !file.has("discovery")
+                    && !environment.containsKey("BALANCER_DISCOVERY");
+            return none ? null : address("BALANCER_DISCOVERY", "discovery", otherwise);
+        }
+
         private long seed() throws ConfigException {
             if (!file.has("seed")) {
                 return System.nanoTime();
--- a/app/src/main/java/ryemast/config/Tuning.java
+++ b/app/src/main/java/ryemast/config/Tuning.java
@@ -1,8 +1,10 @@
 package ryemast.config;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import ryemast.core.Exchange;
 import ryemast.log.LogTuning;
+import ryemast.membership.Bounds;
 import ryemast.net.region.RegionTuning;
 import ryemast.net.servicetable.TableTuning;
 import ryemast.net.terminal.TerminalTuning;
@@ -12,14 +14,19 @@
  * of the file that it may come from, so that a start without one loads nothing for it.
  *
  * @param recording  null: nothing is recorded
+ * @param drained    the file that names workers which operators want drained; null: there is none
+ * @param members    how far a source of workers that can be wrong is believed
+ * @param consul     null: workers come from the platform's discovery
  */
 public record Tuning(Unsaid unsaid, Limits limits, TerminalTuning terminals, RegionTuning regions,
-        TableTuning table, Ending ending, LogTuning log, Recording recording) {
+        TableTuning table, Ending ending, LogTuning log, Recording recording, String drained, Bounds members,
+        Consul consul) {
 
     public static final Tuning DEFAULT = new Tuning(
             new Unsaid("dispatcher", null, null, 1024, Integer.MAX_VALUE, 250_000, 5_000_000, 20_000),
             new Limits(48, 3, 8, Exchange.NAMES), TerminalTuning.DEFAULT, RegionTuning.DEFAULT,
-            TableTuning.DEFAULT, new Ending(450_000, 100_000, 700_000), LogTuning.DEFAULT, null);
+            TableTuning.DEFAULT, new Ending(450_000, 100_000, 700_000), LogTuning.DEFAULT, null, null,
+            Bounds.DEFAULT, null);
 
     /** What holds where the platform says nothing; an address may be null, which then is a fault. */
     public record Unsaid(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
@@ -58,4 +65,21 @@
      */
     public record Recording(String folder, long partBytes, long totalBytes, int places) {
     }
+
+    /**
+     * Consul as the source of workers, in plain words: a start without it loads no class of its module.
+     *
+     * @param service  null where {@code tag} says which
+     * @param mode     default, consistent or stale
+     */
+    public record Consul(List<InetSocketAddress> agents, String service, String tag, String mode,
+            String datacentre,
+            String filter, String tokenFile, String authorityFile, String tlsName, long hold,
+            long connectLimit,
+            int longestAnswer, Fields fields, String registerAs, long timeToLive) {
+    }
+
+    /** Where in a catalogue entry something stands. */
+    public record Fields(String id, String kind, String zone, String cell, String weight, String started) {
+    }
 }
--- a/app/src/main/java/ryemast/log/NoFile.java
+++ b/app/src/main/java/ryemast/log/NoFile.java
@@ -1,8 +1,8 @@
 package ryemast.log;
 
 /**
- * Named to the JDK's log as its configuration, in place of the file with the JDK's defaults: it sets nothing, so
- * that the root logger begins without handlers and nothing is read from a disk.
+ * Named to the JDK's log as its configuration, in place of the file with the JDK's defaults: it sets nothing,
+ * so that the root logger begins without handlers and nothing is read from a disk.
  */
 public final class NoFile {
 
--- a/app/src/main/java/ryemast/log/TextLines.java
+++ b/app/src/main/java/ryemast/log/TextLines.java
@@ -9,9 +9,9 @@
 
 /**
  * The log for people: a line has the time here, with milliseconds, the level, who says it and what; a stack
- * trace follows where there is one. Not {@link java.util.logging.SimpleFormatter}, which looks like it: that one
- * tries its pattern out as it is made, and the locale's numbers and dates which that loads took a third of a
- * start's processor time (50 of 150 ms).
+ * trace follows where there is one. Not {@link java.util.logging.SimpleFormatter}, which looks like it: that
+ * one tries its pattern out as it is made, and the locale's numbers and dates which that loads took a third
+ * of a start's processor time (50 of 150 ms).
  */
 public final class TextLines extends Formatter {
 
--- a/app/src/main/java/ryemast/log/ToStandardError.java
+++ b/app/src/main/java/ryemast/log/ToStandardError.java
@@ -7,8 +7,8 @@
 import java.util.logging.LogRecord;
 
 /**
- * Writes each record to standard error, whole and at once, in UTF-8. Not
- * {@link java.util.logging.ConsoleHandler}, which makes the formatter that {@link TextLines} avoids before it can be
+ * Writes each record to standard error, whole and at once, in UTF-8. Not {@link
+ * java.util.logging.ConsoleHandler}, which makes the formatter that {@link TextLines} avoids before it can be
  * given another one. Safe for many threads.
  */
 public final class ToStandardError extends Handler {
--- a/app/src/main/java/ryemast/operator/InForce.java
+++ b/app/src/main/java/ryemast/operator/InForce.java
@@ -66,7 +66,8 @@
             case LISTEN -> new Word("BALANCER_LISTEN", "listen", config == null
                     ? environment.get("BALANCER_LISTEN") : Addresses.text(config.listen()));
             case DISCOVERY -> new Word("BALANCER_DISCOVERY", "discovery", config == null
-                    ? environment.get("BALANCER_DISCOVERY") : Addresses.text(config.discovery()));
+                    ? environment.get("BALANCER_DISCOVERY")
+                    : config.discovery() == null ? "" : Addresses.text(config.discovery()));
             case SOCKETS -> told(config, "limits.sockets", config == null ? 0 : config.sockets());
             case MAX_OPEN -> told(config, "settings.allowed.max_open", config == null ? 0 : config.maxOpen());
             case GRACE_MS -> told(config, "settings.obligations.grace_to_answer",
--- a/app/src/main/java/ryemast/operator/Key.java
+++ b/app/src/main/java/ryemast/operator/Key.java
@@ -1,6 +1,7 @@
 package ryemast.operator;
 
 import java.util.List;
+import ryemast.consul.Field;
 
 /**
  * Every key of the operator file: the one table that the file is read by, that {@code config} prints and that
@@ -89,10 +90,67 @@
             "How much this dispatcher's recordings take together, those of earlier starts among them."),
     WAITING_RECORDS("recording.waiting_records", 8192, 256, 1 << 20,
             "fewer don't last from one writing to the next, a tenth of a second, and each takes 100 bytes",
-            "So many things may wait for the disk; more are counted, not recorded.");
+            "So many things may wait for the disk; more are counted, not recorded."),
+
+    DRAINED_FILE("membership.drained_file", "", Kind.FILE,
+            "Workers that are to get nothing new, an id and perhaps a reason on each line; read at the"
+                    + " start and at SIGHUP."),
+    LOSS_PERCENT("membership.loss_percent", 33, 1, 100, "a hundred believes any list",
+            "Where Consul loses more of the workers at once, none of these losses is believed at first."),
+    LOSS_WINDOW_S("membership.loss_window_s", 10, 1, 3600, "at once means within some seconds",
+            "Losses within so long count as at once."),
+    SUSPECT_S("membership.suspect_s", 60, 1, 86_400, "a worker that is truly gone costs a try now and then",
+            "A loss that was not believed is after so long, unless a call has shown the worker alive."),
+    PROBATION_S("membership.probation_s", 10, 0, 3600, "a restored catalogue must be followed in the end",
+            "After its versions went back, Consul may only take work away for so long."),
+    FLAP_HALF_LIFE_S("membership.flap_half_life_s", 10, 1, 3600, "a worker must be let go again",
+            "In so long a worker's falls to critical are half forgotten."),
+    FLAP_FALLS("membership.flap_falls", 2, 1, 100, "one fall is no flapping",
+            "A worker that has fallen more often is held until it has been steady."),
+    HELD_PERCENT("membership.held_percent", 10, 1, 100, "none at all would never show that it is well",
+            "What a worker that is held gets of its usual traffic."),
+    WARNED_PERCENT("membership.warned_percent", 50, 1, 100, "one that warns still serves",
+            "What a worker gets whose checks warn, where Consul's weights don't say."),
+    FORGET_S("membership.forget_s", 600, 10, 86_400, "it may come back soon",
+            "The books of a worker that is gone are kept for so long."),
+
+    CONSUL_AGENTS("consul.agents", "", Kind.ADDRESSES,
+            "Consul's agents, asked in this order; they take the place of the platform's discovery."),
+    CONSUL_WORKERS("consul.workers", "tag:ryemast-worker", Kind.WORKERS,
+            "Which of Consul's services the workers are: one by name, or all that carry a tag."),
+    CONSUL_MODE("consul.mode", "default", List.of("default", "consistent", "stale"),
+            "Consul's consistency mode."),
+    CONSUL_DATACENTRE("consul.datacentre", "", Kind.TEXT,
+    "The datacentre that is asked about; else the agent's own."),
+    CONSUL_FILTER("consul.filter", "", Kind.TEXT, "An expression of Consul's that the workers must meet."),
+    CONSUL_TOKEN_FILE("consul.token_file", "", Kind.FILE,
+            "Holds the token that goes with each call; read at the start and at SIGHUP."),
+    CONSUL_AUTHORITY_FILE("consul.authority_file", "", Kind.FILE,
+            "Certificates (PEM) that sign those of agents; where it is named, agents are spoken to over"
+                    + " TLS."),
+    CONSUL_TLS_NAME("consul.tls_name", "", Kind.TEXT,
+            "What agents' certificates are for, where that is not their addresses."),
+    CONSUL_WAIT_S("consul.wait_s", 10, 1, 600, "an agent that has died in silence is noticed no sooner",
+            "For how long an agent may hold a call until there is news."),
+    CONSUL_CONNECT_LIMIT_MS("consul.connect_limit_ms", 1000, 10, 60_000, "the next agent waits meanwhile",
+            "How long a connection to an agent may take to come up."),
+    CONSUL_LONGEST_ANSWER_MB("consul.longest_answer_mb", 16, 1, 256,
+            "a worker takes some 1.5 KB, and an answer is held in memory as a whole",
+            "The longest answer that is read."),
+    CONSUL_ID("consul.id", "service-id", Kind.FIELD, "Where a worker's id stands, by which it calls back."),
+    CONSUL_KIND("consul.kind", "meta:kind", Kind.FIELD, "Where its kind stands, as the settings name kinds."),
+    CONSUL_ZONE("consul.zone", "meta:zone", Kind.FIELD, "Where its zone stands, as the settings name zones."),
+    CONSUL_CELL("consul.cell", "meta:cell", Kind.FIELD, "Where its cell's number stands."),
+    CONSUL_WEIGHT("consul.weight", "weights", Kind.FIELD, "Where its size stands."),
+    CONSUL_STARTED("consul.started", "meta:started_ms", Kind.FIELD,
+            "Where its process's last start stands, in Unix time in milliseconds."),
+    CONSUL_REGISTER_AS("consul.register_as", "", Kind.TEXT,
+            "The service that this dispatcher itself is registered as; it is not where this is absent."),
+    CONSUL_TTL_S("consul.ttl_s", 10, 3, 3600, "a beat comes every third of it",
+            "After so long without a beat of the loop, Consul takes the dispatcher for critical.");
 
     /** What a key's value is. */
-    enum Kind { NAME, ADDRESS, FOLDER, WORD, WHOLE }
+    enum Kind { NAME, ADDRESS, FOLDER, WORD, WHOLE, ADDRESSES, FILE, TEXT, FIELD, WORKERS }
 
     private final String path;
     private final Object otherwise;
@@ -168,7 +226,7 @@
     /** The unit, which the name ends with; empty for a count, a word or a text. */
     public String unit() {
         var end = path.substring(path.lastIndexOf('_') + 1);
-        return kind == Kind.WHOLE && List.of("ms", "s", "bytes", "mb").contains(end) ? end : "";
+        return kind == Kind.WHOLE && List.of("ms", "s", "bytes", "mb", "percent").contains(end) ? end : "";
     }
 
     /** What a value must be, with the reason. */
@@ -177,6 +235,12 @@
             case NAME -> "a text of 1 to " + OperatorFile.LONGEST_NAME + " visible characters";
             case ADDRESS -> "an address IP:PORT, such as \"127.0.0.1:3000\"";
             case FOLDER -> "the path of a folder, such as \"/var/lib/ryemast\"";
+            case ADDRESSES ->
+                    "addresses IP:PORT with commas between them, such as \"127.0.0.1:8500, 127.0.0.1:8501\"";
+            case FILE -> "the path of a file, such as \"/etc/ryemast/drained\"";
+            case TEXT -> "a text of 1 to " + OperatorFile.LONGEST_TEXT + " visible characters";
+            case FIELD -> Field.FORM;
+            case WORKERS -> "\"service:NAME\" or \"tag:NAME\"";
             case WORD -> "\"" + String.join("\" or \"", words) + "\"";
             case WHOLE -> "a whole number from " + least + " to " + most
                     + (unit().isEmpty() ? "" : " (" + unit() + ")") + ": " + why;
--- a/app/src/main/java/ryemast/operator/OperatorFile.java
+++ b/app/src/main/java/ryemast/operator/OperatorFile.java
@@ -13,7 +13,9 @@
 import java.util.logging.Level;
 import ryemast.config.ConfigException;
 import ryemast.config.Tuning;
+import ryemast.consul.Field;
 import ryemast.log.LogTuning;
+import ryemast.membership.Bounds;
 import ryemast.net.Addresses;
 import ryemast.net.region.RegionTuning;
 import ryemast.net.servicetable.TableTuning;
@@ -33,6 +35,7 @@
 public record OperatorFile(Path file, Map<Key, Value> values) {
 
     static final int LONGEST_NAME = 100;
+    static final int LONGEST_TEXT = 1000;
     private static final long MICROS_PER_MS = 1000;
     private static final long MS_PER_S = 1000;
     private static final long BYTES_PER_MB = 1_000_000;
@@ -101,7 +104,43 @@
                 new Tuning.Ending(micros(Key.CLIENTS_COME_MS), micros(Key.REST_MS), micros(Key.LEAST_MS)),
                 new LogTuning(text(Key.FORMAT).equals("json"),
                         Level.parse(text(Key.LEVEL).toUpperCase(Locale.ROOT)), whole(Key.REPEAT_LIMIT),
-                        micros(Key.REPEAT_WINDOW_S) / MICROS_PER_MS), recording());
+                        micros(Key.REPEAT_WINDOW_S) / MICROS_PER_MS), recording(),
+                text(Key.DRAINED_FILE).isEmpty() ? null : text(Key.DRAINED_FILE), bounds(), consul());
+    }
+
+    private Bounds bounds() {
+        var usual = Bounds.DEFAULT;
+        return new Bounds(part(Key.LOSS_PERCENT), micros(Key.LOSS_WINDOW_S), micros(Key.SUSPECT_S),
+                usual.aliveFor(), micros(Key.PROBATION_S), usual.oldest(), micros(Key.FLAP_HALF_LIFE_S),
+                number(Key.FLAP_FALLS), part(Key.HELD_PERCENT), part(Key.WARNED_PERCENT),
+                micros(Key.FORGET_S));
+    }
+
+    /** A third is a third, which no whole number of percent is. */
+    private double part(Key key) {
+        return number(key) == 33 ? 1.0 / 3 : number(key) / 100.0;
+    }
+
+    private Tuning.Consul consul() {
+        if (text(Key.CONSUL_AGENTS).isEmpty()) {
+            return null;
+        }
+        var agents = Arrays.stream(text(Key.CONSUL_AGENTS).split(",")).map(String::strip)
+                .map(Addresses::parse).toList();
+        var workers = text(Key.CONSUL_WORKERS).split(":", 2);
+        return new Tuning.Consul(agents, workers[0].equals("service") ? workers[1] : null,
+                workers[0].equals("tag") ? workers[1]
+                : null, text(Key.CONSUL_MODE), orNull(Key.CONSUL_DATACENTRE),
+                orNull(Key.CONSUL_FILTER), orNull(Key.CONSUL_TOKEN_FILE), orNull(Key.CONSUL_AUTHORITY_FILE),
+                orNull(Key.CONSUL_TLS_NAME), micros(Key.CONSUL_WAIT_S), micros(Key.CONSUL_CONNECT_LIMIT_MS),
+                Math.toIntExact(number(Key.CONSUL_LONGEST_ANSWER_MB) * BYTES_PER_MB),
+                new Tuning.Fields(text(Key.CONSUL_ID), text(Key.CONSUL_KIND), text(Key.CONSUL_ZONE),
+                        text(Key.CONSUL_CELL), text(Key.CONSUL_WEIGHT), text(Key.CONSUL_STARTED)),
+                orNull(Key.CONSUL_REGISTER_AS), micros(Key.CONSUL_TTL_S));
+    }
+
+    private String orNull(Key key) {
+        return text(key).isEmpty() ? null : text(key);
     }
 
     private Tuning.Recording recording() {
@@ -182,8 +221,14 @@
         private static boolean isGood(Key key, String text) {
             return switch (key.kind()) {
                 case ADDRESS -> isAddress(text);
+                case ADDRESSES -> Arrays.stream(text.split(",", -1)).map(String::strip)
+                        .allMatch(Reader::isAddress);
                 case FOLDER -> isFolder(text);
-                default -> isName(text);
+                case FILE -> isFile(text);
+                case TEXT -> isText(text, LONGEST_TEXT);
+                case FIELD -> isField(text);
+                case WORKERS -> text.matches("(service|tag):[^:/?#]+") && isText(text, LONGEST_TEXT);
+                default -> isText(text, LONGEST_NAME);
             };
         }
 
@@ -197,8 +242,25 @@
             }
         }
 
-        private static boolean isName(String text) {
-            return !text.isBlank() && text.length() <= LONGEST_NAME
+        /** Whether it is there is seen when it is read. */
+        private static boolean isFile(String text) {
+            try {
+                return isText(text, LONGEST_TEXT) && !Files.isDirectory(Path.of(text));
+            } catch (InvalidPathException e) {
+                return false;
+            }
+        }
+
+        private static boolean isField(String text) {
+            try {
+                return new Field(text).toString().equals(text);
+            } catch (IllegalArgumentException e) {
+                return false;
+            }
+        }
+
+        private static boolean isText(String text, int longest) {
+            return !text.isBlank() && text.length() <= longest
                     && text.codePoints().noneMatch(Character::isISOControl);
         }
 
--- a/app/src/test/java/ryemast/ArrowsTest.java
+++ b/app/src/test/java/ryemast/ArrowsTest.java
@@ -15,15 +15,18 @@
         JavaClasses all = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
                 .importPackages("pipitladder", "ryemast");
         layeredArchitecture().consideringOnlyDependenciesInLayers()
-                .layer("decisions").definedBy("pipitladder", "ryemast.settings..")
+                .layer("decisions").definedBy("pipitladder", "ryemast.settings..", "ryemast.health..",
+                        "ryemast.membership..", "ryemast.pacing..")
                 .layer("benchlink").definedBy("pipitladder.benchlink..")
                 .layer("core").definedBy("ryemast.core..")
                 .layer("net").definedBy("ryemast.net..")
+                .layer("consul").definedBy("ryemast.consul..")
                 .layer("app").definedBy("ryemast", "ryemast.config..", "ryemast.toml..",
                         "ryemast.log..", "ryemast.operator..", "ryemast.record..", "ryemast.cli..")
                 .whereLayer("app").mayNotBeAccessedByAnyLayer()
-                .whereLayer("net").mayOnlyBeAccessedByLayers("app")
-                .whereLayer("core").mayOnlyBeAccessedByLayers("net", "app")
+                .whereLayer("consul").mayOnlyBeAccessedByLayers("app")
+                .whereLayer("net").mayOnlyBeAccessedByLayers("consul", "app")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("net", "consul", "app")
                 .whereLayer("benchlink").mayOnlyBeAccessedByLayers("app")
                 .check(all);
     }
--- /dev/null
+++ b/consul/src/main/java/ryemast/consul/Agents.java
@@ -0,0 +1,256 @@
+package ryemast.consul;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import ryemast.core.Loop;
+import ryemast.net.Addresses;
+import ryemast.net.Link;
+import ryemast.net.LinkHandler;
+import ryemast.net.Transport;
+import ryemast.net.http.HttpCodec;
+import ryemast.net.http.HttpException;
+import ryemast.net.http.HttpHead;
+import ryemast.net.http.HttpMessage;
+import ryemast.pacing.Setback;
+
+/**
+ * Calls to Consul's agents, one at a time on each connection; connections are kept for the next call. A call
+ * ends once: with a whole answer, or with the reason why there is none, no later than its limit. One whose
+ * kept connection had been closed meanwhile goes out once more, on a new one: that is all the more so
+ * harmless as each of these calls may be repeated. Owned by the loop.
+ */
+final class Agents implements AutoCloseable {
+
+    /**
+     * How a call ended.
+     *
+     * @param setback  null where there is an answer of 200
+     * @param why      in words; empty where there is such an answer
+     * @param answer   null where there is none at all
+     */
+    record Result(Setback setback, String why, HttpMessage answer) {
+
+        boolean good() {
+            return setback == null;
+        }
+
+        /** A header's whole number; {@code otherwise} where there is none. */
+        long number(String header, long otherwise) {
+            var text = answer == null ? null : answer.head().header(header);
+            return text != null && text.matches("[0-9]{1,18}") ? Long.parseLong(text) : otherwise;
+        }
+    }
+
+    private static final int OK = 200;
+    private static final int FORBIDDEN = 403;
+    private static final int TOO_MANY = 429;
+    private static final int LONGEST_QUOTE = 200;
+    /**
+     * Consul ends what rests for longer than some minutes; a watch's own connection never rests for so long.
+     */
+    private static final int KEPT = 4;
+
+    private final Loop loop;
+    private final ConsulSettings settings;
+    private final NioSocketConnector connector;
+    private final List<Deque<Connection>> idle = new ArrayList<>();
+    private final Set<Connection> open = new HashSet<>();
+    private String token = "";
+    private boolean closed;
+
+    Agents(Loop loop, Transport transport, ConsulSettings settings) throws IOException {
+        this.loop = loop;
+        this.settings = settings;
+        connector = transport.connector(HttpCodec.responses(settings.longestAnswer()), new LinkHandler(loop));
+        connector.setConnectTimeoutMillis(Math.max(1, settings.connectLimit() / 1000));
+        if (settings.tls() != null) {
+            TlsFilter.add(connector, settings.tls());
+        }
+        settings.agents().forEach(each -> idle.add(new ArrayDeque<>()));
+    }
+
+    /** Goes with each call from now on; empty: none. */
+    void token(String next) {
+        token = next;
+    }
+
+    String name(int agent) {
+        return Addresses.text(settings.agents().get(agent));
+    }
+
+    /** The end is told on the loop, in a later step; never after {@link #close}. */
+    void call(int agent, String method, String target, byte[] body, long giveUpAt, Consumer<Result> then) {
+        var call = new Call(agent, message(agent, method, target, body), then);
+        call.limit = loop.at(giveUpAt, () -> call.end(Setback.UNREACHABLE, "no answer in time", null));
+        var kept = idle.get(agent).pollLast();
+        if (kept != null) {
+            kept.carry(call);
+        } else {
+            new Connection(agent).connect(call);
+        }
+    }
+
+    private HttpMessage message(int agent, String method, String target, byte[] body) {
+        var head = HttpHead.request(method, target).with("Host", name(agent))
+                .with("Accept", "application/json");
+        if (!token.isEmpty()) {
+            head.with("X-Consul-Token", token);
+        }
+        if (body.length > 0) {
+            head.with("Content-Type", "application/json");
+        }
+        return new HttpMessage(head, body);
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        List.copyOf(open).forEach(Connection::drop);
+        connector.dispose(false);
+    }
+
+    /** What an answer's status means. */
+    private static Setback setback(int status) {
+        return status == OK ? null : status == FORBIDDEN ? Setback.FORBIDDEN
+                : status == TOO_MANY ? Setback.RATE_LIMITED : Setback.SERVER_ERROR;
+    }
+
+    private static String quoted(HttpMessage answer) {
+        var text = new String(answer.body(), 0, Math.min(answer.body().length, LONGEST_QUOTE),
+                StandardCharsets.UTF_8).strip().replaceAll("\\p{Cntrl}+", " ");
+        return "status " + answer.head().status() + (text.isEmpty() ? "" : ": " + text);
+    }
+
+    private final class Call {
+        private final int agent;
+        private final HttpMessage message;
+        private final Consumer<Result> then;
+        private Runnable limit = () -> { };
+        private Connection carrier;
+        private boolean ended;
+
+        Call(int agent, HttpMessage message, Consumer<Result> then) {
+            this.agent = agent;
+            this.message = message;
+            this.then = then;
+        }
+
+        void end(Setback setback, String why, HttpMessage answer) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            limit.run();
+            if (answer == null && carrier != null) {
+                carrier.drop();
+            }
+            if (!closed) {
+                then.accept(new Result(setback, why, answer));
+            }
+        }
+    }
+
+    private final class Connection implements Link {
+        private final int agent;
+        private IoSession session;
+        private Call call;
+        private boolean used;
+        private boolean gone;
+
+        Connection(int agent) {
+            this.agent = agent;
+            open.add(this);
+        }
+
+        void connect(Call first) {
+            call = first;
+            first.carrier = this;
+            InetSocketAddress address = settings.agents().get(agent);
+            var future = connector.connect(address);
+            future.addListener(done -> loop.post(() -> {
+                session = LinkHandler.attach(future, this);
+                if (session == null) {
+                    lost("cannot connect");
+                } else if (gone) {
+                    session.closeNow();
+                } else {
+                    session.write(first.message);
+                }
+            }));
+        }
+
+        void carry(Call next) {
+            call = next;
+            next.carrier = this;
+            used = true;
+            session.write(next.message);
+        }
+
+        @Override
+        public void received(Object message, long at) {
+            if (gone) {
+                return;
+            }
+            if (message instanceof HttpException e) {
+                lost(Setback.MALFORMED, e.getMessage());
+            } else if (call == null || !(message instanceof HttpMessage answer)) {
+                drop();
+            } else {
+                var done = call;
+                call = null;
+                if (answer.head().closes() || idle.get(agent).size() >= KEPT) {
+                    drop();
+                } else {
+                    idle.get(agent).addLast(this);
+                }
+                var setback = setback(answer.head().status());
+                done.end(setback, setback == null ? "" : quoted(answer), answer);
+            }
+        }
+
+        @Override
+        public void ended() {
+            lost("the connection ended");
+        }
+
+        private void lost(String why) {
+            lost(Setback.UNREACHABLE, why);
+        }
+
+        private void lost(Setback setback, String why) {
+            if (gone) {
+                return;
+            }
+            var undone = call;
+            call = null;
+            drop();
+            if (undone == null || undone.ended) {
+                return;
+            }
+            if (used && setback == Setback.UNREACHABLE && !closed) {
+                new Connection(agent).connect(undone);
+            } else {
+                undone.end(setback, why, null);
+            }
+        }
+
+        void drop() {
+            gone = true;
+            open.remove(this);
+            idle.get(agent).remove(this);
+            if (session != null) {
+                session.closeNow();
+            }
+        }
+    }
+}
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -29,6 +29,7 @@
 import pipitladder.Dispatcher.TimerDue;
 import pipitladder.Dispatcher.WorkerInfo;
 import pipitladder.Dispatcher.WorkerList;
+import pipitladder.Dispatcher.WorkerState;
 
 /**
  * Stands between the fronts, the regions, the service table and the decision module; it decides nothing.
@@ -51,6 +52,8 @@
     private ServiceTable serviceTable;
     /** Null, as mostly: nobody looks on. */
     private Observer observer;
+    /** Null, as mostly: no source of workers needs to know what calls show of them. */
+    private Members vitals;
     private final Map<String, Transaction> byTxn = new HashMap<>();
     private final Map<Long, Transaction> byNumber = new HashMap<>();
     /** Names of the transactions taken last, the oldest first. */
@@ -91,6 +94,11 @@
         observer = by;
     }
 
+    /** From now on tells the members what calls show of workers. */
+    public void tellVitals(Members to) {
+        vitals = to;
+    }
+
     /** How many transactions still wait for their answer. */
     public int open() {
         return open;
@@ -155,6 +163,9 @@
         if (observer != null && !task.accepted()) {
             observer.accepted(task.transaction.number, task.number, loop.now());
         }
+        if (vitals != null) {
+            vitals.heard(task.worker);
+        }
         task.accept();
     }
 
@@ -173,6 +184,9 @@
             }
             return;
         }
+        if (vitals != null) {
+            vitals.heard(task.worker);
+        }
         switch (call.state()) {
             case STARTED -> started(task);
             case RUNNING -> {
@@ -239,12 +253,22 @@
         gathered.add(new WorkerList(kind, workers));
     }
 
+    /** Nothing need be known of these workers any more: they have been gone for long. */
+    void forgotten(List<String> workers) {
+        listedWorkers.removeAll(workers);
+        gathered.add(new WorkerList(ListKind.FORGOTTEN, workers.stream()
+                .map(id -> new WorkerInfo(id, WorkerState.GONE, 0, 0, 0, 1, 0)).toList()));
+    }
+
     private void conclude(RoutedTask task, Outcome outcome, String result) {
         if (task.ended()) {
             return;
         }
         task.end(outcome);
         task.timeOut.run();
+        if (vitals != null && outcome == Outcome.CONNECT_FAILED) {
+            vitals.unreachable(task.worker);
+        }
         var transaction = task.transaction;
         if (observer != null) {
             observer.ended(transaction.number, task.number, outcome, loop.now());
--- /dev/null
+++ b/core/src/main/java/ryemast/core/Members.java
@@ -0,0 +1,153 @@
+package ryemast.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.logging.Logger;
+import pipitladder.Dispatcher.ListKind;
+import pipitladder.Dispatcher.WorkerInfo;
+import pipitladder.Dispatcher.WorkerState;
+import ryemast.membership.Change;
+import ryemast.membership.Listing;
+import ryemast.membership.Member;
+import ryemast.membership.Membership;
+import ryemast.membership.Sighting;
+import ryemast.membership.SourceView;
+
+/**
+ * Every list of workers enters here, whoever it comes from, and what {@link Membership} makes of them all
+ * goes on to the {@link Exchange}; nothing else tells the exchange of workers. It decides nothing: it keeps
+ * the timer that membership asks for, and the addresses. Owned by the loop.
+ *
+ * <p>What the platform's discovery says goes on in the same turn and in the same form (whole, changes, as
+ * last known, failed), as the module's way of asking again rests on these.
+ */
+public final class Members {
+
+    /** What the platform's discovery is called among the sources. */
+    public static final String DISCOVERY = "discovery";
+    private static final Logger LOG = Logger.getLogger(Members.class.getName());
+
+    private final Loop loop;
+    private final Exchange exchange;
+    private final Membership membership;
+    private long dueAt = Long.MAX_VALUE;
+    private Runnable timer = () -> { };
+
+    public Members(Loop loop, Exchange exchange, Membership membership) {
+        this.loop = loop;
+        this.exchange = exchange;
+        this.membership = membership;
+        membership.authority(DISCOVERY);
+    }
+
+    /** The platform's discovery has told of workers; {@code kind}: how. */
+    public void discovered(ListKind kind, long version, List<Sighting> sightings) {
+        boolean complete = kind != ListKind.CHANGES;
+        membership.observe(loop.now(), new Listing(DISCOVERY, version, complete, 0, sightings));
+        var change = membership.settle(loop.now());
+        if (complete) {
+            // Also those that have not changed: the module takes whoever a whole list leaves out to be gone.
+            exchange.listed(kind, membership.members().stream().map(Member::info)
+                    .filter(each -> each.state() != WorkerState.GONE).toList());
+        } else {
+            exchange.listed(kind, infos(change));
+        }
+        finish(change);
+    }
+
+    /** The platform's discovery could not be asked, or its watch has ended. */
+    public void discoveryFailed() {
+        membership.failed(loop.now(), DISCOVERY);
+        exchange.listed(ListKind.FAILED, List.of());
+    }
+
+    /** Another source has said something. */
+    public void observe(Listing listing) {
+        membership.observe(loop.now(), listing);
+        settle();
+    }
+
+    /** Another source has said that nothing has changed. */
+    public void unchanged(String source) {
+        membership.unchanged(loop.now(), source);
+    }
+
+    /** Another source could not be asked. */
+    public void failed(String source) {
+        membership.failed(loop.now(), source);
+        settle();
+    }
+
+    /** A second look names these workers; see {@link Membership#confirmGone}. */
+    public void confirmGone(String source, Set<String> present) {
+        membership.confirmGone(loop.now(), source, present);
+        settle();
+    }
+
+    /** The workers that operators want drained, all of them, each with the reason. */
+    public void drain(Map<String, String> workers) {
+        membership.drain(workers);
+        settle();
+    }
+
+    /** The worker has shown that it is alive. */
+    void heard(String worker) {
+        membership.heard(loop.now(), worker);
+    }
+
+    /** There was nobody at the worker's address. */
+    void unreachable(String worker) {
+        membership.unreachable(loop.now(), worker);
+    }
+
+    /** Where a worker is, IP:PORT; null if nobody has ever told. */
+    public String address(String worker) {
+        var member = membership.member(worker);
+        return member == null || member.address().isEmpty() ? null : member.address();
+    }
+
+    public List<Member> members() {
+        return List.copyOf(membership.members());
+    }
+
+    public List<SourceView> sources() {
+        return membership.sources();
+    }
+
+    /** How many workers of this source are kept though it has lost them. */
+    public int withheld(String source) {
+        return membership.sources().stream().filter(each -> each.name().equals(source))
+                .mapToInt(SourceView::withheld).sum();
+    }
+
+    private void settle() {
+        var change = membership.settle(loop.now());
+        var infos = infos(change);
+        if (!infos.isEmpty()) {
+            exchange.listed(ListKind.CHANGES, infos);
+        }
+        finish(change);
+    }
+
+    private static List<WorkerInfo> infos(Change change) {
+        return change.members().stream().map(Member::info).toList();
+    }
+
+    private void finish(Change change) {
+        if (!change.forgotten().isEmpty()) {
+            exchange.forgotten(new ArrayList<>(change.forgotten()));
+        }
+        change.news().forEach(LOG::info);
+        long next = membership.nextDue(loop.now());
+        if (next != dueAt) {
+            timer.run();
+            dueAt = next;
+            timer = next == Long.MAX_VALUE ? () -> { } : loop.at(next, () -> {
+                dueAt = Long.MAX_VALUE;
+                settle();
+            });
+        }
+    }
+}
--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -15,7 +15,6 @@
 import ryemast.health.Health;
 import ryemast.health.Refusals.Cause;
 import ryemast.health.Sign;
-import ryemast.health.Standing;
 
 /**
  * All decisions of a dispatcher; its interface is in {@link Dispatcher} (Dispatcher.java).
@@ -54,7 +53,10 @@
     private static final double SURELY = 0.7;
     /** So sure, it is given up. */
     private static final double CERTAINLY = 0.95;
-    /** Of the time within which the list must be asked: until it is asked again after one failure; then doubled. */
+    /**
+     * Of the time within which the list must be asked: until it is asked again after one failure; then
+     * doubled.
+     */
     private static final double FIRST_PAUSE = 0.005;
     /** A dispatcher keeps to this many times its candidates: its own sight and connections stay fresh. */
     private static final int POOL = 2;
@@ -433,7 +435,7 @@
     /** Before the payoff ranks: a worker that fails many jobs, or failed this one, only if no other fits. */
     private boolean fits(Job job, Worker worker) {
         boolean asWell = job.jobClass.effect() == Effect.UNSAFE
-                ? worker.health.standing() == Standing.FULL : worker.health.admits();
+                ? worker.health.isTrusted() : worker.health.admits();
         return asWell && !job.failedAt(worker);
     }
 
@@ -659,10 +661,17 @@
         if (list.kind() == ListKind.COMPLETE || list.kind() == ListKind.CACHED) {
             workers.values().forEach(Worker::unlist);
         }
-        list.workers().forEach(this::update);
+        list.workers().forEach(list.kind() == ListKind.FORGOTTEN ? this::forget : this::update);
         regroup();
     }
 
+    private void forget(WorkerInfo info) {
+        if (workers.containsKey(info.id()) && workers.get(info.id()).isOver()) {
+            byCode.values().remove(workers.remove(info.id()));
+            health.forget(info.id());
+        }
+    }
+
     /** Each dispatcher has an order of its own, so that few of them share a worker's connections. */
     private void regroup() {
         var ready = workers.values().stream().filter(worker -> worker.info.state() == WorkerState.READY)
@@ -681,12 +690,10 @@
         var worker = workers.computeIfAbsent(info.id(),
                 id -> new Worker(id, settings.self(), health.box(id)));
         if (worker.info != null && info.startedAt() > worker.info.startedAt()) {
-            worker.missed(now, 0);
-            worker.health.startedAnew();
-            worker.giveUpOnSentBefore(info.startedAt());
+            worker.startedAnew(now, info.startedAt());
         }
         worker.info = info;
-        worker.health.in(info.zone());
+        worker.health.in(info.zone(), info.share());
         byCode.put(worker.code, worker);
     }
 
@@ -694,7 +701,8 @@
     private void ask(boolean again) {
         double others = settings.dispatchers() - 1;
         double turn = (settings.self() + random.nextDouble()) / settings.dispatchers();
-        double pause = Math.min(0.25, FIRST_PAUSE * Math.scalb(settings.dispatchers(), Math.min(9, failedAsks)));
+        double pause =
+                Math.min(0.25, FIRST_PAUSE * Math.scalb(settings.dispatchers(), Math.min(9, failedAsks)));
         double part = again ? pause * (1 + random.nextDouble()) : turn * others / (others + workers.size());
         arm("ask", 1 + (long) (settings.rules().askEvery() * part), () -> out.accept(new Subscribe()));
     }
--- a/decisions/src/main/java/pipitladder/Dispatcher.java
+++ b/decisions/src/main/java/pipitladder/Dispatcher.java
@@ -58,8 +58,11 @@
     /** What the list says of a worker. */
     enum WorkerState { READY, DRAINING, GONE }
 
-    /** How far a list update reaches; FAILED answers a call to the list that brought nothing. */
-    enum ListKind { CHANGES, COMPLETE, CACHED, FAILED }
+    /**
+     * How far a list update reaches; FAILED answers a call to the list that brought nothing, FORGOTTEN names
+     * workers that have been gone for so long that nothing need be remembered of them.
+     */
+    enum ListKind { CHANGES, COMPLETE, CACHED, FAILED, FORGOTTEN }
 
     /** Figures a worker may report, in the order of {@link Settings#reportFields}. */
     enum ReportField { IN_FLIGHT, QUEUED, UTILISATION, LATENCY_MS, PER_SECOND, ERRORS_PER_SECOND, FREE_SLOTS,
@@ -138,9 +141,22 @@
         public static final int MESSAGE_BYTES = 256;
     }
 
-    /** A worker as listed; {@code startedAt} 0 means long ago. */
+    /**
+     * A worker as listed.
+     *
+     * @param startedAt  0 means long ago
+     * @param share      the part of its ordinary traffic that it is to have, from 0 to 1, where others can
+     *                   take the rest
+     */
     record WorkerInfo(String id, WorkerState state, int kind, int zone, int cell, double weight,
-            long startedAt) {
+            long startedAt,
+            double share) {
+
+        /** One that is to have all of its traffic. */
+        public WorkerInfo(String id, WorkerState state, int kind, int zone, int cell, double weight,
+                long startedAt) {
+            this(id, state, kind, zone, cell, weight, startedAt, 1);
+        }
     }
 
     /** What happens to a dispatcher. */
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -157,7 +157,7 @@
 
         void unlist() {
             info = new WorkerInfo(id, WorkerState.GONE, info.kind(), info.zone(), info.cell(), info.weight(),
-                    info.startedAt());
+                    info.startedAt(), info.share());
         }
 
         void sent(long now, double work, long window) {
@@ -209,8 +209,20 @@
             }
         }
 
+        /** Off the list, with nothing out there. */
+        boolean isOver() {
+            return attempts.isEmpty() && info.state() == WorkerState.GONE;
+        }
+
+        /** Its process is new: nothing seen of the former one holds. */
+        void startedAnew(long now, long start) {
+            missed(now, 0);
+            health.startedAnew();
+            giveUpOnSentBefore(start);
+        }
+
         /** The attempts are still out, but their jobs were lost when the worker started anew. */
-        void giveUpOnSentBefore(long start) {
+        private void giveUpOnSentBefore(long start) {
             told.clear();
             for (var attempt : attempts) {
                 if (attempt.sentAt < start && !attempt.lost) {
--- a/decisions/src/main/java/ryemast/health/Box.java
+++ b/decisions/src/main/java/ryemast/health/Box.java
@@ -59,6 +59,8 @@
     private long fullUntil;
     Standing standing = Standing.FULL;
     double share = 1;
+    /** The most that it may have by what is said of it elsewhere. */
+    private double ceiling = 1;
     private double credit;
     private long creditAt;
     private long trialAt;
@@ -78,7 +80,7 @@
         awaited.add(job);
         missingAt = Long.MIN_VALUE;
         health.sends++;
-        credit -= standing == Standing.REDUCED ? 1 : 0;
+        credit -= isRationed() ? 1 : 0;
         if (standing == Standing.TRIAL) {
             job.trial = true;
             trialAt = now + pause();
@@ -87,9 +89,23 @@
         return job;
     }
 
-    /** Where it is. */
-    public void in(int newZone) {
+    /** Where it is, and the most of its ordinary traffic that it may have, from 0 to 1. */
+    public void in(int newZone, double most) {
         zone = newZone;
+        boolean before = isRationed();
+        ceiling = most;
+        if (isRationed() && !before) {
+            ration();
+        }
+    }
+
+    private boolean isRationed() {
+        return standing == Standing.REDUCED || standing == Standing.FULL && ceiling < 1;
+    }
+
+    private void ration() {
+        credit = 0;
+        creditAt = health.sends;
     }
 
     /** A sign of life that is about no job. */
@@ -310,7 +326,12 @@
 
     /** Whether a job may go here by the box's standing; if not, only where no other box will do. */
     public boolean admits() {
-        return standing == Standing.FULL || standing == Standing.REDUCED && credit() >= 1;
+        return isTrusted() || isRationed() && credit() >= 1;
+    }
+
+    /** Whether a job that must run once may go here. */
+    public boolean isTrusted() {
+        return standing == Standing.FULL && ceiling >= 1;
     }
 
     /** Whether a job that may be repeated should go here now, to see whether the box is well again. */
@@ -319,7 +340,8 @@
     }
 
     private double credit() {
-        credit = Math.min(2, credit + share * (health.sends - creditAt) / Math.max(1, health.listed()));
+        credit = Math.min(2, credit
+                + Math.min(share, ceiling) * (health.sends - creditAt) / Math.max(1, health.listed()));
         creditAt = health.sends;
         return credit;
     }
@@ -329,9 +351,8 @@
             quiet |= missingDown > 2;
             trialAt = now + pause();
         }
-        if (next == Standing.REDUCED && standing != Standing.REDUCED) {
-            credit = 0;
-            creditAt = health.sends;
+        if (next == Standing.REDUCED && !isRationed()) {
+            ration();
         }
         if (next == Standing.FULL && standing != Standing.FULL) {
             Arrays.fill(lately, 0);
--- a/decisions/src/main/java/ryemast/health/Health.java
+++ b/decisions/src/main/java/ryemast/health/Health.java
@@ -69,6 +69,13 @@
         return boxes.computeIfAbsent(id, name -> new Box(this, name));
     }
 
+    /** Nothing is out at this box, and it will not come back. */
+    public void forget(String id) {
+        var box = boxes.remove(id);
+        suspects.remove(box);
+        dirty.remove(box);
+    }
+
     /** The boxes that may get jobs now. */
     public void list(List<Box> ready) {
         listed = List.copyOf(ready);
--- a/decisions/src/test/java/ryemast/health/HealthTest.java
+++ b/decisions/src/test/java/ryemast/health/HealthTest.java
@@ -233,7 +233,7 @@
 
     @Test
     void theRestOfAZoneThatWentDownIsSuspect() {
-        boxes.forEach(box -> box.in(boxes.indexOf(box) < 4 ? 1 : 2));
+        boxes.forEach(box -> box.in(boxes.indexOf(box) < 4 ? 1 : 2, 1));
         for (int i = 0; i < 9; i++) {
             job(i % 3, Sign.NO_CONNECTION);
         }
--- a/lab/src/main/java/ryemast/lab/compare/JarModule.java
+++ b/lab/src/main/java/ryemast/lab/compare/JarModule.java
@@ -189,6 +189,8 @@
             case COMPLETE -> "whole";
             case CACHED -> "stale_copy";
             case FAILED -> "broken";
+            case FORGOTTEN ->
+                    throw new IllegalArgumentException("the wire has no word for workers forgotten");
         });
         view.addProperty("serial", list);
         if (told.kind() != ListKind.FAILED) {
--- a/net/src/main/java/ryemast/net/http/HttpCodec.java
+++ b/net/src/main/java/ryemast/net/http/HttpCodec.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -51,6 +50,11 @@
         return new HttpCodec(Form.RESPONSES, MAX_BODY);
     }
 
+    /** Responses of up to so many bytes, where they come from one who has much to say. */
+    public static HttpCodec responses(long maxBody) {
+        return new HttpCodec(Form.RESPONSES, maxBody);
+    }
+
     /** Responses whose bodies have no end. */
     public static HttpCodec stream() {
         return new HttpCodec(Form.STREAM, Long.MAX_VALUE);
@@ -85,7 +89,9 @@
         private final IoSession session;
         private ProtocolDecoderOutput out;
         private HttpHead head;
+        /** The body so far: its first part alone, as most have but one, or all of several. */
         private byte[] body;
+        private ByteArrayOutputStream parts;
         private volatile boolean failed;
         private long dropped;
         /** When the first byte came of the message that is not whole yet, in nanoseconds; 0: none. */
@@ -99,6 +105,7 @@
         public void head(HttpHead next) {
             head = next;
             body = null;
+            parts = null;
             if (form == Form.STREAM) {
                 out.write(next);
             } else if (form == Form.REQUESTS && next.lists("expect", "100-continue")) {
@@ -110,8 +117,14 @@
         public void body(byte[] part) {
             if (form == Form.STREAM) {
                 out.write(part);
+            } else if (body == null) {
+                body = part;
             } else {
-                body = body == null ? part : joined(body, part);
+                if (parts == null) {
+                    parts = new ByteArrayOutputStream(2 * (body.length + part.length));
+                    parts.writeBytes(body);
+                }
+                parts.writeBytes(part);
             }
         }
 
@@ -122,15 +135,11 @@
             if (form == Form.STREAM) {
                 out.write(interim ? HttpMessage.EMPTY : END);
             } else if (!interim) {
-                out.write(new HttpMessage(head, body == null ? HttpMessage.EMPTY : body));
+                out.write(new HttpMessage(head, parts != null ? parts.toByteArray()
+                        : body == null ? HttpMessage.EMPTY : body));
             }
             body = null;
-        }
-
-        private static byte[] joined(byte[] one, byte[] other) {
-            var both = Arrays.copyOf(one, one.length + other.length);
-            System.arraycopy(other, 0, both, one.length, other.length);
-            return both;
+            parts = null;
         }
     }
 
--- a/net/src/main/java/ryemast/net/servicetable/TableReader.java
+++ b/net/src/main/java/ryemast/net/servicetable/TableReader.java
@@ -27,6 +27,15 @@
         this.kinds = kinds;
     }
 
+    /** The settings' names, by their numbers. */
+    public List<String> zones() {
+        return zones;
+    }
+
+    public List<String> kinds() {
+        return kinds;
+    }
+
     /** One object; an {@link IOException} says what is wrong with it. */
     public TableUpdate read(String json) throws IOException {
         try (var in = new JsonReader(new StringReader(json))) {
--- a/net/src/main/java/ryemast/net/servicetable/TableUpdate.java
+++ b/net/src/main/java/ryemast/net/servicetable/TableUpdate.java
@@ -3,10 +3,27 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import pipitladder.Dispatcher.WorkerInfo;
+import ryemast.membership.Condition;
+import ryemast.membership.Sighting;
+import ryemast.net.Addresses;
 
 /** What the service table says at one time: all of its entries, or those that changed. */
 public record TableUpdate(long version, boolean full, List<Entry> entries) {
 
+    /** {@code address} may be null for a worker that is gone. */
     public record Entry(WorkerInfo worker, InetSocketAddress address) {
+
+        /** As a word of this source about a worker; a weight that can't be one counts as the usual one. */
+        Sighting sighting() {
+            var condition = switch (worker.state()) {
+                case READY -> Condition.PASSING;
+                case DRAINING -> Condition.DRAINING;
+                case GONE -> Condition.GONE;
+            };
+            double weight = worker.weight() > 0
+                    && worker.weight() < Double.POSITIVE_INFINITY ? worker.weight() : 1;
+            return new Sighting(worker.id(), address == null ? null : Addresses.text(address), condition,
+                    worker.kind(), worker.zone(), worker.cell(), weight, worker.startedAt(), 0, 0, "");
+        }
     }
 }
--- a/net/src/main/java/ryemast/net/servicetable/TableWatch.java
+++ b/net/src/main/java/ryemast/net/servicetable/TableWatch.java
@@ -4,16 +4,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.logging.Logger;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import pipitladder.Dispatcher.ListKind;
-import pipitladder.Dispatcher.WorkerInfo;
-import ryemast.core.Exchange;
 import ryemast.core.Loop;
+import ryemast.core.Members;
 import ryemast.core.Note;
 import ryemast.core.ServiceTable;
 import ryemast.net.Addresses;
@@ -25,25 +21,24 @@
 import ryemast.net.http.HttpHead;
 import ryemast.net.http.HttpMessage;
 
-/** Holds a watch on the service table whenever the module has asked for one, and knows the addresses. */
+/** Holds a watch on the service table whenever the module has asked for one. */
 public final class TableWatch implements ServiceTable {
 
     private static final Logger LOG = Logger.getLogger(TableWatch.class.getName());
 
     private final Loop loop;
-    private final Exchange exchange;
+    private final Members members;
     private final TableReader reader;
     private final TableTuning tuning;
     private final NioSocketConnector connector;
-    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private InetSocketAddress discovery;
     private long version;
     private Watch watch;
 
-    public TableWatch(Loop loop, Exchange exchange, Transport transport, InetSocketAddress discovery,
+    public TableWatch(Loop loop, Members members, Transport transport, InetSocketAddress discovery,
             TableReader reader, TableTuning tuning) {
         this.loop = loop;
-        this.exchange = exchange;
+        this.members = members;
         this.discovery = discovery;
         this.reader = reader;
         this.tuning = tuning;
@@ -56,11 +51,6 @@
         follow(known, ListKind.CACHED);
     }
 
-    /** Where a worker is; null if it never was listed. */
-    public InetSocketAddress address(String worker) {
-        return addresses.get(worker);
-    }
-
     @Override
     public void watch() {
         if (watch != null) {
@@ -88,13 +78,8 @@
 
     private void follow(TableUpdate update, ListKind kind) {
         version = update.version();
-        for (var entry : update.entries()) {
-            if (entry.address() != null) {
-                addresses.put(entry.worker().id(), entry.address());
-            }
-        }
-        List<WorkerInfo> workers = update.entries().stream().map(TableUpdate.Entry::worker).toList();
-        exchange.listed(kind, workers);
+        members.discovered(kind, version,
+                update.entries().stream().map(TableUpdate.Entry::sighting).toList());
     }
 
     /** One call to discovery, from its connecting to its end; one that is replaced is not heard any more. */
@@ -136,7 +121,7 @@
                         "address", Addresses.text(discovery));
                 watch = null;
                 close();
-                exchange.listed(ListKind.FAILED, List.of());
+                members.discoveryFailed();
             }
         }
 
