Play Consul in the lab: a stand-in agent with faults on command, drains and mass changes measured

Consul must be met without a server of others. Scenarios take it in discovery's place (consul = true); lab drains and lab members measure how drains are kept and what a list of thousands costs.

--- a/lab/src/main/java/ryemast/lab/cli/LabCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/LabCommand.java
@@ -6,6 +6,7 @@
 @Command(name = "lab", description = "Runs a dispatcher on emulated sites, and measures and judges it.",
         subcommands = {EmulateCommand.class, LoadCommand.class, GrowthCommand.class, FailuresCommand.class,
             FitCommand.class, CompareCommand.class, SimulateCommand.class, PoliciesCommand.class,
-            TheoryCommand.class, ModelGrowthCommand.class, HealthCommand.class})
+            TheoryCommand.class, ModelGrowthCommand.class, HealthCommand.class, ConsulCommand.class,
+            DrainsCommand.class, MembersCommand.class})
 public final class LabCommand {
 }
--- a/lab/src/main/java/ryemast/lab/scenario/Scenario.java
+++ b/lab/src/main/java/ryemast/lab/scenario/Scenario.java
@@ -146,11 +146,22 @@
      * @param callTime      what a call costs; calls are worked through in turn
      * @param timeout       a call that has waited for so long fails
      * @param beat          how often a watch with no news says an empty line
+     * @param through       who tells dispatchers of boxes
      */
-    public record Discovery(long notice, long silentNotice, long add, long callTime, long timeout,
-            long beat) {
+    public record Discovery(long notice, long silentNotice, long add, long callTime, long timeout, long beat,
+            Through through) {
+
+        /** The platform's own discovery. */
+        public Discovery(long notice, long silentNotice, long add, long callTime, long timeout, long beat) {
+            this(notice, silentNotice, add, callTime, timeout, beat, Through.PLATFORM);
+        }
     }
 
+    /** Who tells dispatchers of boxes. */
+    public enum Through { PLATFORM,
+        /** A stand-in for Consul's agents; calls cost nothing there, and beats are not told. */
+        CONSUL }
+
     /** What boxes tell of their jobs: starts, progress every so often (0: none), and how stubbornly. */
     public record Telling(boolean starts, long progressEvery, int tries, long retryAfter) {
     }
--- a/lab/src/main/java/ryemast/lab/scenario/SitePlan.java
+++ b/lab/src/main/java/ryemast/lab/scenario/SitePlan.java
@@ -44,8 +44,9 @@
         var call = in.millis("call_ms", usual.callTime(), 0, A_MINUTE_MS);
         var timeout = in.millis("timeout_ms", usual.timeout(), 1, A_MINUTE_MS);
         var beat = in.seconds("beat_s", usual.beat(), 0.01, A_DAY);
+        var through = in.flag("consul", false) ? Scenario.Through.CONSUL : Scenario.Through.PLATFORM;
         return chance -> new Scenario.Discovery(notice.time(chance), silent.time(chance), add.time(chance),
-                call.time(chance), timeout.time(chance), beat.time(chance));
+                call.time(chance), timeout.time(chance), beat.time(chance), through);
     }
 
     private static Function<Chance, Scenario.Telling> telling(Section in) {
--- a/lab/src/main/java/ryemast/lab/site/Catalogue.java
+++ b/lab/src/main/java/ryemast/lab/site/Catalogue.java
@@ -27,7 +27,7 @@
  * reset; what a call was being worked on is begun anew. While it is down, calls fail at once with 503 and
  * watches have ended in a reset. In both, changes go on becoming known, and are told later.
  */
-public final class Catalogue {
+public final class Catalogue implements Directory {
 
     /** A watch that has missed more versions than this is given the whole list. */
     static final int KEPT = 1_000;
@@ -101,18 +101,21 @@
         }
     }
 
-    void stall() {
+    @Override
+    public void stall() {
         stalls++;
         pauseServing();
     }
 
-    void goOn() {
+    @Override
+    public void goOn() {
         stalls--;
         serve();
         flush();
     }
 
-    void goDown() {
+    @Override
+    public void goDown() {
         downs++;
         pauseServing();
         waiting.clear();
@@ -122,7 +125,8 @@
         }
     }
 
-    void comeUp() {
+    @Override
+    public void comeUp() {
         downs--;
     }
 
--- a/lab/src/main/java/ryemast/lab/site/FaultInjector.java
+++ b/lab/src/main/java/ryemast/lab/site/FaultInjector.java
@@ -26,7 +26,7 @@
     static final long REST = 1_000_000;
 
     private final Scenario scenario;
-    private final Catalogue catalogue;
+    private final Directory directory;
     private final Spells spells;
     private final DispatcherControl control;
     private final Timeline time;
@@ -36,10 +36,10 @@
     private final List<String> lines = new ArrayList<>();
     private long beganAt;
 
-    public FaultInjector(Scenario scenario, List<Box> boxes, Catalogue catalogue, Spells spells,
+    public FaultInjector(Scenario scenario, List<Box> boxes, Directory directory, Spells spells,
             DispatcherControl control, Timeline time) {
         this.scenario = scenario;
-        this.catalogue = catalogue;
+        this.directory = directory;
         this.spells = spells;
         this.control = control;
         this.time = time;
@@ -79,16 +79,16 @@
                         box -> plights.get(box).box.recover(fault));
             case HEAVY, POISONED -> later(fault.lasts(), () -> log(word(fault) + " is over"));
             case DISCOVERY_STALLS -> {
-                catalogue.stall();
+                directory.stall();
                 later(fault.lasts(), () -> {
-                    catalogue.goOn();
+                    directory.goOn();
                     log(word(fault) + " is over");
                 });
             }
             case DISCOVERY_DOWN -> {
-                catalogue.goDown();
+                directory.goDown();
                 later(fault.lasts(), () -> {
-                    catalogue.comeUp();
+                    directory.comeUp();
                     log(word(fault) + " is over");
                 });
             }
--- a/lab/src/main/java/ryemast/lab/sockets/DispatcherProcess.java
+++ b/lab/src/main/java/ryemast/lab/sockets/DispatcherProcess.java
@@ -47,6 +47,7 @@
     private final InetSocketAddress address;
     private final Supplier<String> configuration;
     private final Path folder;
+    private final Path operator;
     private final Clock clock;
     private final Observer observer;
     private final Deque<String> lastLines = new ArrayDeque<>();
@@ -62,15 +63,16 @@
     private boolean died;
     private volatile boolean closed;
 
-    /** {@code configuration}: made anew for each start. */
+    /** {@code configuration}: made anew for each start; {@code operator}: its operator file, or null. */
     DispatcherProcess(int number, List<String> command, Path root, InetSocketAddress address,
-            Supplier<String> configuration, Path folder, Clock clock, Observer observer) {
+            Supplier<String> configuration, Path folder, Path operator, Clock clock, Observer observer) {
         this.number = number;
         this.command = command;
         this.root = root;
         this.address = address;
         this.configuration = configuration;
         this.folder = folder;
+        this.operator = operator;
         this.clock = clock;
         this.observer = observer;
     }
@@ -87,6 +89,9 @@
         builder.environment().put("BALANCER_CONFIG", config.toAbsolutePath().toString());
         builder.environment().put("BALANCER_LISTEN", Addresses.text(address));
         builder.environment().remove("BALANCER_DISCOVERY");
+        if (operator != null) {
+            builder.environment().put("RYEMAST_OPERATOR", operator.toAbsolutePath().toString());
+        }
         ordered = false;
         starts++;
         long startedAt = clock.now();
@@ -230,12 +235,25 @@
         signal("CONT", DispatcherState.RESUMED);
     }
 
+    /** SIGHUP: its operator's files have changed; when it was sent, on the site's clock. */
+    synchronized long reload() {
+        long at = clock.now();
+        signal("HUP");
+        return at;
+    }
+
     private synchronized void signal(String name, DispatcherState state) {
+        if (isAlive()) {
+            changed(state, clock.now());
+            signal(name);
+        }
+    }
+
+    private void signal(String name) {
         if (!isAlive()) {
             return;
         }
         try {
-            changed(state, clock.now());
             new ProcessBuilder("kill", "-" + name, Long.toString(current.process.pid())).start()
                     .waitFor(PATIENCE_S, TimeUnit.SECONDS);
         } catch (IOException e) {
--- a/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
+++ b/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -19,14 +20,12 @@
 import ryemast.lab.books.MemoryBooks;
 import ryemast.lab.scenario.Scenario;
 import ryemast.lab.site.Box;
-import ryemast.lab.site.Catalogue;
 import ryemast.lab.site.Clients;
 import ryemast.lab.site.DispatcherControl;
 import ryemast.lab.site.FaultInjector;
 import ryemast.lab.site.Front;
 import ryemast.lab.site.Patience;
 import ryemast.lab.site.Spells;
-import ryemast.lab.site.Tell;
 import ryemast.lab.world.Chance;
 import ryemast.net.Addresses;
 import ryemast.net.Transport;
@@ -54,32 +53,38 @@
      * @param connections  the most that clients keep open
      * @param callBacks    the most connections that call-backs share to one dispatcher; 0: each box has up to
      *                     four of its own, as long as there are few boxes
+     * @param operator     further lines of each dispatcher's section about Consul, where that lists the boxes
      */
     public record Options(String command, String external, Path folder, boolean pin, List<String> jvmArgs,
-            int connections, int callBacks) {
+            int connections, int callBacks, String operator) {
 
         public static Options standard() {
-            return new Options(null, null, null, false, List.of(), Patience.CONNECTIONS, 0);
+            return new Options(null, null, null, false, List.of(), Patience.CONNECTIONS, 0, "");
+        }
+
+        public Options withOperator(String lines) {
+            return new Options(command, external, folder, pin, jvmArgs, connections, callBacks, lines);
         }
 
         public Options withCommand(String other) {
-            return new Options(other, external, folder, pin, jvmArgs, connections, callBacks);
+            return new Options(other, external, folder, pin, jvmArgs, connections, callBacks, operator);
         }
 
         public Options withExternal(String address) {
-            return new Options(command, address, folder, pin, jvmArgs, connections, callBacks);
+            return new Options(command, address, folder, pin, jvmArgs, connections, callBacks, operator);
         }
 
         public Options withFolder(Path other) {
-            return new Options(command, external, other, pin, jvmArgs, connections, callBacks);
+            return new Options(command, external, other, pin, jvmArgs, connections, callBacks, operator);
         }
 
         public Options pinned() {
-            return new Options(command, external, folder, true, jvmArgs, connections, callBacks);
+            return new Options(command, external, folder, true, jvmArgs, connections, callBacks, operator);
         }
 
         public Options withJvmArgs(List<String> more) {
-            return new Options(command, external, folder, pin, List.copyOf(more), connections, callBacks);
+            return new Options(command, external, folder, pin, List.copyOf(more), connections, callBacks,
+                    operator);
         }
     }
 
@@ -132,8 +137,7 @@
     private Path folder;
     private Cores cores;
     private BoxPorts ports;
-    private Catalogue catalogue;
-    private CatalogueServer discovery;
+    private TablesAt tables;
     private Clients clients;
     private FaultInjector faults;
     private volatile boolean interrupted;
@@ -182,21 +186,13 @@
         }
         ports = new BoxPorts(site, transport(), boxes, hosts);
         ports.open();
-        catalogue = new Catalogue(scenario, boxes, ports::address, site, books);
-        discovery = new CatalogueServer(site, outward, new CatalogueServer.Discovery() {
-            @Override
-            public void call(int dispatcher, boolean watch, long from, Tell tell) {
-                catalogue.call(dispatcher, watch, from, tell);
-            }
-
-            @Override
-            public void gone(Tell tell) {
-                catalogue.gone(tell);
-            }
-        }, hosts);
-        discovery.open();
+        tables = scenario.discovery().through() == Scenario.Through.CONSUL
+                ? new ConsulTables(scenario, boxes, ports, site, outward, books, hosts, folder,
+                        options.operator())
+                : new PlatformTables(scenario, boxes, ports, site, outward, books, hosts);
+        tables.open();
         var spells = new Spells(scenario.faults());
-        faults = new FaultInjector(scenario, boxes, catalogue, spells, control(), site);
+        faults = new FaultInjector(scenario, boxes, tables.directory(), spells, control(), site);
         var pool = new ClientPool(callers, transport(), front, addresses::get, this::isAlive,
                 scenario.clients().marksRetry(), options.connections());
         clients = new Clients(scenario, callers, chance, pool, books.tries(), books, spells);
@@ -252,15 +248,16 @@
             int number = i;
             supervisor.add(new DispatcherProcess(i,
                     launch.words(cores.of(i), scenario.dispatchers().sockets()), launch.root(),
-                    addresses.get(i), () -> configuration(number), folder, clock, supervisor));
+                    addresses.get(i), () -> configuration(number), folder, tables.operatorFile(i), clock,
+                    supervisor));
         }
         supervisor.start(READY_MS);
     }
 
     private String configuration(int dispatcher) {
         return new DispatcherSettings(scenario).configuration(dispatcher,
-                Addresses.text(addresses.get(dispatcher)), discovery.address(dispatcher),
-                seeds.get(dispatcher).nextLong(), site.ask(() -> catalogue.whole(dispatcher))).toString();
+                Addresses.text(addresses.get(dispatcher)), tables.address(dispatcher),
+                seeds.get(dispatcher).nextLong(), site.ask(() -> tables.whole(dispatcher))).toString();
     }
 
     private void awaitExternal() throws IOException {
@@ -403,6 +400,45 @@
         return site.failures() + callers.failures();
     }
 
+    /** What tells the dispatchers of boxes, where that is a stand-in for Consul. */
+    public ConsulTables consul() {
+        return (ConsulTables) tables;
+    }
+
+    /** Has something done where the boxes and what tells of them live, and waits for it. */
+    public <T> T ask(Supplier<T> what) {
+        return site.ask(what);
+    }
+
+    /** SIGSTOP to a dispatcher, as by the timetable. */
+    public void pause(int dispatcher) {
+        supervisor.pause(dispatcher);
+    }
+
+    public void resume(int dispatcher) {
+        supervisor.resume(dispatcher);
+    }
+
+    /** SIGTERM to a dispatcher, which starts anew once it has ended. */
+    public void end(int dispatcher) {
+        supervisor.end(dispatcher);
+    }
+
+    /** SIGHUP to a dispatcher; when it was sent, on the clock of the books. */
+    public long reload(int dispatcher) {
+        return supervisor.reload(dispatcher);
+    }
+
+    /** Where clients and call-backs reach a dispatcher. */
+    public InetSocketAddress dispatcher(int number) {
+        return addresses.get(number);
+    }
+
+    /** The clock of the books. */
+    public long now() {
+        return clock.now();
+    }
+
     /** Where configurations and logs are. */
     public Path folder() {
         return folder;
@@ -422,8 +458,8 @@
         if (ports != null) {
             ports.close();
         }
-        if (discovery != null) {
-            discovery.close();
+        if (tables != null) {
+            tables.close();
         }
         transports.forEach(each -> each.processor().dispose());
         site.close();
--- a/lab/src/main/java/ryemast/lab/sockets/Shard.java
+++ b/lab/src/main/java/ryemast/lab/sockets/Shard.java
@@ -49,7 +49,7 @@
     }
 
     /** For what hands in messages from other threads. */
-    Loop loop() {
+    public Loop loop() {
         return loop;
     }
 
--- a/lab/src/main/java/ryemast/lab/sockets/Supervisor.java
+++ b/lab/src/main/java/ryemast/lab/sockets/Supervisor.java
@@ -105,6 +105,10 @@
         return ready;
     }
 
+    long reload(int dispatcher) {
+        return processes.get(dispatcher).reload();
+    }
+
     boolean isAlive(int dispatcher) {
         return processes.get(dispatcher).isAlive();
     }
--- a/lab/src/test/java/ryemast/lab/sockets/Plan.java
+++ b/lab/src/test/java/ryemast/lab/sockets/Plan.java
@@ -23,6 +23,7 @@
     double startCapacity = 1;
     int dispatchers = 1;
     int pinned;
+    Scenario.Through through = Scenario.Through.PLATFORM;
     final List<Scenario.Fault> faults = new ArrayList<>();
 
     Plan fault(Scenario.FaultKind kind, double at, double lasts, int... targets) {
@@ -47,7 +48,8 @@
                         0, 64),
                 new Scenario.Clients(retries, Scenario.Backoff.FIXED, 20_000, 1, 0, false, 1),
                 new Scenario.Dispatchers(dispatchers, pinned, 192, 1_024, SECOND / 5),
-                new Scenario.Discovery(50_000, SECOND, 50_000, 1_000, 3 * SECOND, 2 * SECOND),
+                new Scenario.Discovery(50_000, SECOND, 50_000, 1_000, 3 * SECOND, 2 * SECOND,
+                        through),
                 new Scenario.Telling(true, 0, 10, 50_000),
                 new Scenario.Rules(500_000, 4, SECOND, startCapacity, 10 * SECOND, 10 * SECOND, 20_000, 5,
                         true, true, true, 2 * SECOND, 250_000),
