Take batches in the DRMAA style: sessions and jobs on disk, TLS, a framed protocol

District offices want to hand in a term's worth of jobs at once; until now a job was one request whose client had to wait, and all that was taken was lost with the process. What is told as taken is on the disk; each attempt's intent is there before its first byte leaves; ends are there before they are told. Batch jobs go through the same exchange and module; the front stands between the exchange and the regions, so that neither knows of it. Off unless the operator file has [batch].

--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.logging.Logger;
 import pipitladder.Brain;
+import ryemast.batch.BatchFront;
 import ryemast.config.Config;
 import ryemast.config.ConfigException;
 import ryemast.config.Tuning;
@@ -32,6 +33,8 @@
 
     /** The first line of the log reads the time zones, which takes 20 ms: the first clients go before it. */
     private static final long FIRST_LINE = 100_000;
+    /** Batch jobs' names must not push clients' names out of those that are remembered. */
+    private static final int NAMES_FOR_EACH = 64;
     /** Made in every start, that of the build's archive among them, which would not hold it otherwise. */
     private static final Runnable NOTHING = () -> { };
 
@@ -44,6 +47,8 @@
     private final TableWatch table;
     /** Null where the workers come from the platform's discovery. */
     private final ConsulTable catalogue;
+    /** Null where there is no batch submission. */
+    private final BatchFront batch;
     /** Ends what looks on, if anything does. */
     private AutoCloseable recording = () -> { };
     private long drainingSince;
@@ -58,20 +63,23 @@
         var tuning = config.tuning();
         var room = config.room();
         exchange = new Exchange(loop, new Brain(settings, config.seed()), room.jobs(),
-                settings.limits().maxAttempts(), config.grace(), tuning.limits().namesRemembered());
+                settings.limits().maxAttempts(), config.grace(), tuning.limits().namesRemembered()
+                + (tuning.batch() == null ? 0 : NAMES_FOR_EACH * tuning.batch().mostOut()));
         transport = new Transport();
         members = new Members(loop, exchange, new Membership(tuning.members()));
         table = new TableWatch(loop, members, transport, config.discovery(), config.tableReader(),
                 tuning.table());
         var pool = new RegionPool(loop, exchange, transport, new Routes(members::address),
                 config.connectLimit(), config.connIdle(), room.regions(), tuning.regions());
+        batch = tuning.batch() == null ? null : Batching.of(config, loop, exchange, pool);
+        var workers = batch == null ? pool : batch;
         terminals = new TerminalServer(loop, exchange, transport,
                 new JobReader(config.lanes(), config.orgs()), room.terminals(), tuning.terminals());
         catalogue = tuning.consul() == null ? null : Catalogue.of(config, loop, transport, members);
         if (catalogue == null) {
-            exchange.connect(pool, table);
+            exchange.connect(workers, table);
         } else {
-            exchange.connect(pool, catalogue);
+            exchange.connect(workers, catalogue);
             exchange.tellVitals(members);
         }
         if (tuning.drained() != null) {
@@ -105,6 +113,9 @@
             loop.at(loop.now() + FIRST_LINE, () -> Note.info(LOG, "{name} listens at {address}",
                     "name", config.name(), "address", Addresses.text(address)));
         });
+        if (batch != null && !onlyUntilReady) {
+            batch.begin();
+        }
         Runnable rehearsed = onlyUntilReady ? this::drain : NOTHING;
         loop.post(() -> {
             loop.at(loop.now() + LONGEST_REHEARSAL, rehearsed);
@@ -112,6 +123,9 @@
         });
         loop.run();
         terminals.stop();
+        if (batch != null) {
+            batch.close();
+        }
         endRecording();
         Logs.end();
         System.exit(0);
@@ -129,6 +143,15 @@
                 loop.post(() -> members.drain(drained));
             });
         }
+        if (batch != null) {
+            reload("the batch keys", () -> {
+                try {
+                    batch.reload();
+                } catch (IOException e) {
+                    throw new ConfigException("batch.keys_folder: " + e.getMessage());
+                }
+            });
+        }
         if (catalogue != null) {
             reload("the token", () -> {
                 var token = Catalogue.token(config);
@@ -167,6 +190,9 @@
             Note.info(LOG, "ending: {open} transactions to answer", "open", exchange.open());
             drainingSince = loop.now();
             terminals.drain();
+            if (batch != null) {
+                batch.drain();
+            }
             if (catalogue != null) {
                 catalogue.drain();
             }
@@ -180,7 +206,8 @@
         if (since >= ending.clientsCome()) {
             terminals.closeResting(ending.rest());
         }
-        if (since >= ending.least() && exchange.open() == 0 && terminals.isQuiet()) {
+        if (since >= ending.least() && exchange.open() == 0 && terminals.isQuiet()
+                && (batch == null || batch.isQuiet())) {
             if (catalogue != null && !left) {
                 // Jobs may come meanwhile: it is quiet only if it still is once the catalogue has been told.
                 left = true;
--- a/app/src/main/java/ryemast/config/Config.java
+++ b/app/src/main/java/ryemast/config/Config.java
@@ -38,6 +38,8 @@
         TableUpdate known, long connectLimit, long connIdle, int maxOpen, long grace, Tuning tuning) {
 
     public static final int LEAST_SOCKETS = 64;
+    /** The batch front's listener, selector and store. */
+    private static final int BATCH_SOCKETS = 8;
     private static final String ALONE = """
             {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:9",
              "known":{"version":1,"full":true,"servers":[
@@ -52,11 +54,15 @@
     /** The descriptors, shared out as the tuning says. */
     public Room room() {
         var limits = tuning.limits();
-        int free = Math.max(2 * limits.regionsShare(), sockets - limits.reservedSockets());
+        // Submitters have places of their own, and their jobs need none of clients' connections.
+        var batch = tuning.batch();
+        int apart = batch == null ? 0 : batch.connections() + BATCH_SOCKETS;
+        int free = Math.max(2 * limits.regionsShare(), sockets - limits.reservedSockets() - apart);
         int regions = free / limits.regionsShare();
         int terminals = free - regions;
         int forCallBacks = Math.max(1, terminals / limits.callBackShare());
-        return new Room(regions, terminals, Math.min(maxOpen, terminals - forCallBacks));
+        return new Room(regions, terminals, Math.min(maxOpen, terminals - forCallBacks
+                + (batch == null ? 0 : batch.mostOut())));
     }
 
     /** Reads the platform's file, already parsed, without any environment. */
--- a/app/src/main/java/ryemast/config/Tuning.java
+++ b/app/src/main/java/ryemast/config/Tuning.java
@@ -17,16 +17,17 @@
  * @param drained    the file that names workers which operators want drained; null: there is none
  * @param members    how far a source of workers that can be wrong is believed
  * @param consul     null: workers come from the platform's discovery
+ * @param batch      null: there is no batch submission
  */
 public record Tuning(Unsaid unsaid, Limits limits, TerminalTuning terminals, RegionTuning regions,
         TableTuning table, Ending ending, LogTuning log, Recording recording, String drained, Bounds members,
-        Consul consul) {
+        Consul consul, Batch batch) {
 
     public static final Tuning DEFAULT = new Tuning(
             new Unsaid("dispatcher", null, null, 1024, Integer.MAX_VALUE, 250_000, 5_000_000, 20_000),
             new Limits(48, 3, 8, Exchange.NAMES), TerminalTuning.DEFAULT, RegionTuning.DEFAULT,
             TableTuning.DEFAULT, new Ending(450_000, 100_000, 700_000), LogTuning.DEFAULT, null, null,
-            Bounds.DEFAULT, null);
+            Bounds.DEFAULT, null, null);
 
     /** What holds where the platform says nothing; an address may be null, which then is a fault. */
     public record Unsaid(String name, InetSocketAddress listen, InetSocketAddress discovery, int sockets,
@@ -82,4 +83,17 @@
     /** Where in a catalogue entry something stands. */
     public record Fields(String id, String kind, String zone, String cell, String weight, String started) {
     }
+
+    /**
+     * Batch submission, in plain words: a start without it loads no class of its module. Times in
+     * microseconds.
+     *
+     * @param folder    where accepted jobs are kept
+     * @param keys      where certificates and keys are
+     * @param mostOut   and what follows: as the operator file's keys have it
+     */
+    public record Batch(InetSocketAddress listen, String folder, String keys, int mostOut, int mostWaiting,
+            int connections, long helloLimit, long frameLimit, long idleLimit, int window, long storeBytes,
+            long reserveBytes, long retain, int failures) {
+    }
 }
--- a/app/src/main/java/ryemast/operator/Key.java
+++ b/app/src/main/java/ryemast/operator/Key.java
@@ -147,7 +147,36 @@
     CONSUL_REGISTER_AS("consul.register_as", "", Kind.TEXT,
             "The service that this dispatcher itself is registered as; it is not where this is absent."),
     CONSUL_TTL_S("consul.ttl_s", 10, 3, 3600, "a beat comes every third of it",
-            "After so long without a beat of the loop, Consul takes the dispatcher for critical.");
+            "After so long without a beat of the loop, Consul takes the dispatcher for critical."),
+
+    BATCH_LISTEN("batch.listen", "", Kind.ADDRESS,
+            "Where submitters of batches connect; there is no batch submission where this is absent."),
+    BATCH_FOLDER("batch.folder", "", Kind.FOLDER,
+            "A folder that lasts, for all that submitters were told is taken."),
+    BATCH_KEYS_FOLDER("batch.keys_folder", "", Kind.FOLDER,
+            "Where './ryemast keys' has made the dispatcher's keys; read at the start and at SIGHUP."),
+    BATCH_MOST_OUT("batch.most_out", 256, 1, 100_000, "each takes memory, and a place among open jobs",
+            "Batch jobs out at once at most; how many there are below that follows what is idle."),
+    BATCH_MOST_WAITING("batch.most_waiting", 200_000, 1, 5_000_000, "each takes some ten bytes of memory",
+            "Batch jobs that are not over, of all submitters together; more are turned away for now."),
+    BATCH_CONNECTIONS("batch.connections", 64, 1, 10_000, "each takes a socket and some 50 KB",
+            "Submitters' connections at once."),
+    BATCH_HELLO_LIMIT_MS("batch.hello_limit_ms", 3000, 100, 60_000, "strangers must not hold places",
+            "A connection must have shown its key and said hello so soon."),
+    BATCH_FRAME_LIMIT_MS("batch.frame_limit_ms", 10_000, 100, 600_000, "a peer that is stuck must go",
+            "A message must be whole, and an answer read, within so long."),
+    BATCH_IDLE_LIMIT_S("batch.idle_limit_s", 300, 1, 86_400, "a connection is no use for longer",
+            "A connection on which nothing is asked for so long is ended; sessions stay."),
+    BATCH_WINDOW("batch.window", 64, 1, 10_000, "each request under way takes memory",
+            "Requests of one connection that are not answered yet; no more are read."),
+    BATCH_STORE_MB("batch.store_mb", 2048, 16, 1_048_576, "results of jobs are kept until they are fetched",
+            "How large the store may grow; beyond it nothing new is taken."),
+    BATCH_RESERVE_MB("batch.reserve_mb", 64, 1, 1_048_576, "what is out must be able to end",
+            "What the disk must have left; where it has less, nothing new is taken."),
+    BATCH_RETAIN_S("batch.retain_s", 604_800, 60, 31_536_000, "a disk is not endless",
+            "Jobs that are over and that nobody has fetched are forgotten after so long."),
+    BATCH_FAILURES("batch.failures", 3, 1, 100, "a job that never ends well must end at last",
+            "So often may a job that may be repeated fail, where its submitter does not say.");
 
     /** What a key's value is. */
     enum Kind { NAME, ADDRESS, FOLDER, WORD, WHOLE, ADDRESSES, FILE, TEXT, FIELD, WORKERS }
--- a/app/src/main/java/ryemast/operator/OperatorFile.java
+++ b/app/src/main/java/ryemast/operator/OperatorFile.java
@@ -105,7 +105,8 @@
                 new LogTuning(text(Key.FORMAT).equals("json"),
                         Level.parse(text(Key.LEVEL).toUpperCase(Locale.ROOT)), whole(Key.REPEAT_LIMIT),
                         micros(Key.REPEAT_WINDOW_S) / MICROS_PER_MS), recording(),
-                text(Key.DRAINED_FILE).isEmpty() ? null : text(Key.DRAINED_FILE), bounds(), consul());
+                text(Key.DRAINED_FILE).isEmpty() ? null : text(Key.DRAINED_FILE), bounds(), consul(),
+                batch());
     }
 
     private Bounds bounds() {
@@ -139,6 +140,15 @@
                 orNull(Key.CONSUL_REGISTER_AS), micros(Key.CONSUL_TTL_S));
     }
 
+    private Tuning.Batch batch() {
+        return text(Key.BATCH_LISTEN).isEmpty() ? null : new Tuning.Batch(address(Key.BATCH_LISTEN),
+                text(Key.BATCH_FOLDER), text(Key.BATCH_KEYS_FOLDER), whole(Key.BATCH_MOST_OUT),
+                whole(Key.BATCH_MOST_WAITING), whole(Key.BATCH_CONNECTIONS), micros(Key.BATCH_HELLO_LIMIT_MS),
+                micros(Key.BATCH_FRAME_LIMIT_MS), micros(Key.BATCH_IDLE_LIMIT_S), whole(Key.BATCH_WINDOW),
+                number(Key.BATCH_STORE_MB) * BYTES_PER_MB, number(Key.BATCH_RESERVE_MB) * BYTES_PER_MB,
+                micros(Key.BATCH_RETAIN_S), whole(Key.BATCH_FAILURES));
+    }
+
     private String orNull(Key key) {
         return text(key).isEmpty() ? null : text(key);
     }
@@ -293,10 +303,11 @@
             boolean atOther = one.line == 0;
             var at = atOther ? rule.other : rule.one;
             var against = atOther ? rule.one : rule.other;
-            var from = values.get(against).line == 0 ? "the default" : "line " + values.get(against).line;
+            var told = values.get(against);
+            var from = told.value.equals("") ? ", which is not set" : " = " + told.value
+                    + (told.line == 0 ? " (the default)" : " (line " + told.line + ")");
             sections.get(at.section()).complain(at.inSection(), "is " + values.get(at).value
-                    + ", against " + against.path() + " = " + values.get(against).value + " (" + from
-                    + "); expected " + rule.expected);
+                    + ", against " + against.path() + from + "; expected " + rule.expected);
         }
     }
 }
--- a/app/src/main/java/ryemast/operator/Rule.java
+++ b/app/src/main/java/ryemast/operator/Rule.java
@@ -26,7 +26,16 @@
     REST_WITHIN_LEAST(Key.REST_MS, Key.LEAST_MS, (rest, least) -> number(rest) <= number(least),
             "end.rest_ms within end.least_ms, as the program may be gone after that"),
     PARTS_WITHIN_TOTAL(Key.PART_MB, Key.TOTAL_MB, (part, total) -> 2 * number(part) <= number(total),
-            "recording.part_mb at most half of recording.total_mb, as the oldest file goes for the newest");
+            "recording.part_mb at most half of recording.total_mb, as the oldest file goes for the newest"),
+    BATCH_HAS_A_FOLDER(Key.BATCH_LISTEN, Key.BATCH_FOLDER, Rule::bothOrNone,
+            "both or neither, as what submitters were told is taken must be kept somewhere"),
+    BATCH_HAS_KEYS(Key.BATCH_LISTEN, Key.BATCH_KEYS_FOLDER, Rule::bothOrNone,
+            "both or neither, as submitters come with keys only"),
+    BATCH_HAS_AN_ADDRESS_OF_ITS_OWN(Key.BATCH_LISTEN, Key.LISTEN, (batch, listen) ->
+            batch.toString().isEmpty() || !batch.equals(listen), "two addresses, as clients speak otherwise"),
+    HELLO_WITHIN_IDLE(Key.BATCH_HELLO_LIMIT_MS, Key.BATCH_IDLE_LIMIT_S, (hello, idle) ->
+            number(hello) <= 1000 * number(idle),
+            "batch.hello_limit_ms within batch.idle_limit_s, which would end the connection first");
 
     final Key one;
     final Key other;
@@ -44,6 +53,10 @@
         return relation.test(first, second);
     }
 
+    private static boolean bothOrNone(Object one, Object other) {
+        return one.toString().isEmpty() == other.toString().isEmpty();
+    }
+
     private static long number(Object value) {
         return (Long) value;
     }
--- a/app/src/test/java/ryemast/ArrowsTest.java
+++ b/app/src/test/java/ryemast/ArrowsTest.java
@@ -16,17 +16,25 @@
                 .importPackages("pipitladder", "ryemast");
         layeredArchitecture().consideringOnlyDependenciesInLayers()
                 .layer("decisions").definedBy("pipitladder", "ryemast.settings..", "ryemast.health..",
-                        "ryemast.membership..", "ryemast.pacing..")
+                        "ryemast.membership..", "ryemast.pacing..", "ryemast.recovery..")
                 .layer("benchlink").definedBy("pipitladder.benchlink..")
                 .layer("core").definedBy("ryemast.core..")
                 .layer("net").definedBy("ryemast.net..")
                 .layer("consul").definedBy("ryemast.consul..")
+                .layer("store").definedBy("ryemast.store..")
+                .layer("wire").definedBy("ryemast.wire..")
+                .layer("batch").definedBy("ryemast.batch..")
                 .layer("app").definedBy("ryemast", "ryemast.config..", "ryemast.toml..",
                         "ryemast.log..", "ryemast.operator..", "ryemast.record..", "ryemast.cli..")
                 .whereLayer("app").mayNotBeAccessedByAnyLayer()
                 .whereLayer("consul").mayOnlyBeAccessedByLayers("app")
-                .whereLayer("net").mayOnlyBeAccessedByLayers("consul", "app")
-                .whereLayer("core").mayOnlyBeAccessedByLayers("net", "consul", "app")
+                .whereLayer("batch").mayOnlyBeAccessedByLayers("app")
+                .whereLayer("store").mayOnlyBeAccessedByLayers("batch")
+                .whereLayer("wire").mayOnlyBeAccessedByLayers("batch")
+                .whereLayer("store").mayNotAccessAnyLayer()
+                .whereLayer("wire").mayNotAccessAnyLayer()
+                .whereLayer("net").mayOnlyBeAccessedByLayers("consul", "batch", "app")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("net", "consul", "batch", "app")
                 .whereLayer("benchlink").mayOnlyBeAccessedByLayers("app")
                 .check(all);
     }
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -89,9 +89,9 @@
         serviceTable = table;
     }
 
-    /** Lets somebody look on from now on; null: nobody. */
+    /** Lets somebody look on from now on, beside those who do already. */
     public void observe(Observer by) {
-        observer = by;
+        observer = observer == null ? by : new BothObservers(observer, by);
     }
 
     /** From now on tells the members what calls show of workers. */
