--- /dev/null
+++ b/lab/src/main/java/ryemast/lab/batch/package-info.java
@@ -0,0 +1,2 @@
+/** Trials and measurements of batch submission: a whole site, real submitters, and books of what ran. */
+package ryemast.lab.batch;
--- a/lab/src/main/java/ryemast/lab/cli/LabCommand.java
+++ b/lab/src/main/java/ryemast/lab/cli/LabCommand.java
@@ -7,6 +7,7 @@
         subcommands = {EmulateCommand.class, LoadCommand.class, GrowthCommand.class, FailuresCommand.class,
             FitCommand.class, CompareCommand.class, SimulateCommand.class, PoliciesCommand.class,
             TheoryCommand.class, ModelGrowthCommand.class, HealthCommand.class, ConsulCommand.class,
-            DrainsCommand.class, MembersCommand.class})
+            DrainsCommand.class, MembersCommand.class, BatchTrialCommand.class,
+            BatchBesideCommand.class, BatchStoreCommand.class})
 public final class LabCommand {
 }
--- a/lab/src/main/java/ryemast/lab/cli/LoadRuns.java
+++ b/lab/src/main/java/ryemast/lab/cli/LoadRuns.java
@@ -79,7 +79,7 @@
         var jvmArgs = room.heapMb() > Room.LEAST_HEAP_MB ? List.of("-Xmx" + room.heapMb() + "m",
                 "-XX:MaxDirectMemorySize=" + room.directMb() + "m") : List.<String>of();
         return new EmulatedSite.Options(null, external, logs, external == null, jvmArgs,
-                Math.max(CLIENT_CONNECTIONS, plan.connections()), 0, "");
+                Math.max(CLIENT_CONNECTIONS, plan.connections()), 0, "", null);
     }
 
     private LoadResult result(LoadPlan plan, Room room, EmulatedSite site, Interval interval,
--- a/lab/src/main/java/ryemast/lab/sockets/BoxConnection.java
+++ b/lab/src/main/java/ryemast/lab/sockets/BoxConnection.java
@@ -74,7 +74,7 @@
         var head = request.head();
         var txn = head.header("x-txn");
         // A job must come as its client sent it: under another path it is one that no client knows.
-        if (txn != null && !head.second().equals(ClientPool.target(txn))) {
+        if (txn != null && !head.second().equals(port.target(txn))) {
             txn = txn + " at " + head.second();
         }
         return new Machine.Parcel(port.dispatcher(), txn, waits(head.header("x-remaining-ms")), firstByteAt,
--- a/lab/src/main/java/ryemast/lab/sockets/BoxPort.java
+++ b/lab/src/main/java/ryemast/lab/sockets/BoxPort.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.logging.Logger;
+import java.util.function.UnaryOperator;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import ryemast.lab.site.Machine;
@@ -29,6 +30,7 @@
     }
 
     private final Shard shard;
+    private final UnaryOperator<String> targets;
     private final NioSocketAcceptor acceptor;
     private final Machine machine;
     private final int dispatcher;
@@ -39,7 +41,8 @@
     private Silence silence;
 
     BoxPort(Shard shard, NioSocketAcceptor acceptor, Machine machine, int dispatcher,
-            InetSocketAddress address) {
+            InetSocketAddress address, UnaryOperator<String> targets) {
+        this.targets = targets;
         this.shard = shard;
         this.acceptor = acceptor;
         this.machine = machine;
@@ -47,6 +50,11 @@
         this.address = address;
     }
 
+    /** The path that a request of this name bears. */
+    String target(String txn) {
+        return targets.apply(txn);
+    }
+
     Machine machine() {
         return machine;
     }
--- a/lab/src/main/java/ryemast/lab/sockets/BoxPorts.java
+++ b/lab/src/main/java/ryemast/lab/sockets/BoxPorts.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import java.util.Map;
 import org.apache.mina.core.filterchain.IoFilterAdapter;
 import org.apache.mina.core.session.AttributeKey;
@@ -31,6 +32,7 @@
     private static final AttributeKey FIRST = new AttributeKey(BoxPorts.class, "first byte at");
 
     private final Shard shard;
+    private final UnaryOperator<String> targets;
     private final List<? extends Machine> boxes;
     private final List<String> hosts;
     private final NioSocketAcceptor acceptor;
@@ -40,6 +42,13 @@
 
     /** {@code hosts}: one for each dispatcher. */
     BoxPorts(Shard shard, Transport transport, List<? extends Machine> boxes, List<String> hosts) {
+        this(shard, transport, boxes, hosts, ClientPool::target);
+    }
+
+    /** {@code targets}: the path that a request of a name bears, as whoever sent it has it. */
+    BoxPorts(Shard shard, Transport transport, List<? extends Machine> boxes, List<String> hosts,
+            UnaryOperator<String> targets) {
+        this.targets = targets;
         this.shard = shard;
         this.boxes = boxes;
         this.hosts = hosts;
@@ -59,7 +68,7 @@
             var bound = bind(hosts.get(dispatcher));
             var mine = new ArrayList<BoxPort>();
             for (int box = 0; box < boxes.size(); box++) {
-                var port = new BoxPort(shard, acceptor, boxes.get(box), dispatcher, bound.get(box));
+                var port = new BoxPort(shard, acceptor, boxes.get(box), dispatcher, bound.get(box), targets);
                 mine.add(port);
                 found.put(bound.get(box), port);
             }
--- a/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
+++ b/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
@@ -18,6 +18,8 @@
 import ryemast.core.Clock;
 import ryemast.lab.books.DispatcherStats;
 import ryemast.lab.books.MemoryBooks;
+import ryemast.lab.books.OtherJobs;
+import ryemast.lab.books.SplitBooks;
 import ryemast.lab.scenario.Scenario;
 import ryemast.lab.site.Box;
 import ryemast.lab.site.Clients;
@@ -53,38 +55,49 @@
      * @param connections  the most that clients keep open
      * @param callBacks    the most connections that call-backs share to one dispatcher; 0: each box has up to
      *                     four of its own, as long as there are few boxes
-     * @param operator     further lines of each dispatcher's section about Consul, where that lists the boxes
+     * @param operator     further lines of each dispatcher's operator file
+     * @param others       jobs that reach the boxes by another way than the clients', or null
      */
     public record Options(String command, String external, Path folder, boolean pin, List<String> jvmArgs,
-            int connections, int callBacks, String operator) {
+            int connections, int callBacks, String operator, OtherJobs others) {
 
         public static Options standard() {
-            return new Options(null, null, null, false, List.of(), Patience.CONNECTIONS, 0, "");
+            return new Options(null, null, null, false, List.of(), Patience.CONNECTIONS, 0, "", null);
         }
 
         public Options withOperator(String lines) {
-            return new Options(command, external, folder, pin, jvmArgs, connections, callBacks, lines);
+            return new Options(command, external, folder, pin, jvmArgs, connections, callBacks, lines,
+                    others);
         }
 
         public Options withCommand(String other) {
-            return new Options(other, external, folder, pin, jvmArgs, connections, callBacks, operator);
+            return new Options(other, external, folder, pin, jvmArgs, connections, callBacks, operator,
+                    others);
         }
 
         public Options withExternal(String address) {
-            return new Options(command, address, folder, pin, jvmArgs, connections, callBacks, operator);
+            return new Options(command, address, folder, pin, jvmArgs, connections, callBacks, operator,
+                    others);
         }
 
         public Options withFolder(Path other) {
-            return new Options(command, external, other, pin, jvmArgs, connections, callBacks, operator);
+            return new Options(command, external, other, pin, jvmArgs, connections, callBacks, operator,
+                    others);
         }
 
         public Options pinned() {
-            return new Options(command, external, folder, true, jvmArgs, connections, callBacks, operator);
+            return new Options(command, external, folder, true, jvmArgs, connections, callBacks, operator,
+                    others);
+        }
+
+        public Options withOthers(OtherJobs jobs) {
+            return new Options(command, external, folder, pin, jvmArgs, connections, callBacks, operator,
+                    jobs);
         }
 
         public Options withJvmArgs(List<String> more) {
             return new Options(command, external, folder, pin, List.copyOf(more), connections, callBacks,
-                    operator);
+                    operator, others);
         }
     }
 
@@ -180,16 +193,26 @@
         var hosts = IntStream.rangeClosed(1, count).mapToObj(number -> net + number).toList();
         var outward = transport();
         var callBacks = callBacks(outward);
+        var others = options.others();
+        if (others != null) {
+            books.tries().others(others::find);
+        }
+        var boxBooks = others == null ? books : new SplitBooks(books, others);
         for (var spec : scenario.boxes()) {
-            boxes.add(new Box(spec, scenario.telling(), scenario.rules(), site, chance, books.tries(), books,
+            boxes.add(new Box(spec, scenario.telling(), scenario.rules(), site, chance, books.tries(),
+                    boxBooks,
                     callBacks.of(spec.index())));
         }
-        ports = new BoxPorts(site, transport(), boxes, hosts);
+        ports = new BoxPorts(site, transport(), boxes, hosts, txn -> {
+            var other = others == null ? null : others.target(txn);
+            return other != null ? other : ClientPool.target(txn);
+        });
         ports.open();
         tables = scenario.discovery().through() == Scenario.Through.CONSUL
                 ? new ConsulTables(scenario, boxes, ports, site, outward, books, hosts, folder,
                         options.operator())
-                : new PlatformTables(scenario, boxes, ports, site, outward, books, hosts);
+                : new PlatformTables(scenario, boxes, ports, site, outward, books, hosts, folder,
+                        options.operator());
         tables.open();
         var spells = new Spells(scenario.faults());
         faults = new FaultInjector(scenario, boxes, tables.directory(), spells, control(), site);
@@ -287,36 +310,7 @@
     }
 
     private DispatcherControl control() {
-        return options.external() == null ? supervisor : new DispatcherControl() {
-            @Override
-            public void kill(int dispatcher) {
-                passedOver("kill");
-            }
-
-            @Override
-            public void restart(int dispatcher) {
-                passedOver("restart");
-            }
-
-            @Override
-            public void end(int dispatcher) {
-                passedOver("end");
-            }
-
-            @Override
-            public void pause(int dispatcher) {
-                passedOver("pause");
-            }
-
-            @Override
-            public void resume(int dispatcher) {
-                passedOver("resume");
-            }
-
-            private void passedOver(String what) {
-                LOG.warning("the scenario would " + what + " the dispatcher, but somebody else runs it");
-            }
-        };
+        return options.external() == null ? supervisor : new SomebodyElses();
     }
 
     /**
@@ -419,6 +413,16 @@
         supervisor.resume(dispatcher);
     }
 
+    /** SIGKILL to a dispatcher; it stays down until {@link #restart}. */
+    public void kill(int dispatcher) {
+        supervisor.kill(dispatcher);
+    }
+
+    /** Starts one that is down, or will be. */
+    public void restart(int dispatcher) {
+        supervisor.restart(dispatcher);
+    }
+
     /** SIGTERM to a dispatcher, which starts anew once it has ended. */
     public void end(int dispatcher) {
         supervisor.end(dispatcher);
--- a/lab/src/main/java/ryemast/lab/sockets/PlatformTables.java
+++ b/lab/src/main/java/ryemast/lab/sockets/PlatformTables.java
@@ -1,6 +1,8 @@
 package ryemast.lab.sockets;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import ryemast.lab.books.Books;
@@ -17,9 +19,14 @@
     private final Catalogue catalogue;
     private final CatalogueServer server;
 
+    private final Path folder;
+    private final String operator;
+
+    /** {@code operator}: what each dispatcher's operator file holds; empty: there is none. */
     PlatformTables(Scenario scenario, List<Box> boxes, BoxPorts ports, Shard site, Transport transport,
-            Books books,
-            List<String> hosts) {
+            Books books, List<String> hosts, Path folder, String operator) {
+        this.folder = folder;
+        this.operator = operator;
         catalogue = new Catalogue(scenario, boxes, ports::address, site, books);
         server = new CatalogueServer(site, transport, new CatalogueServer.Discovery() {
             @Override
@@ -51,7 +58,14 @@
 
     @Override
     public Path operatorFile(int dispatcher) {
-        return null;
+        if (operator.isEmpty()) {
+            return null;
+        }
+        try {
+            return Files.writeString(folder.resolve("operator-" + dispatcher + ".toml"), operator);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     @Override
