Draw from all workers, and let a job that waits for others' work stand in a second queue

Candidates come from all workers. A job that may be repeated, whose start is later than own work explains, stands in a second queue if that is expected to be shorter than what it has waited; it leaves one as it starts from the other.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -15,6 +15,8 @@
 import ryemast.health.Health;
 import ryemast.health.Refusals.Cause;
 import ryemast.health.Sign;
+import ryemast.limits.ColdBudget;
+import ryemast.pacing.ListCalls;
 
 /**
  * All decisions of a dispatcher; its interface is in {@link Dispatcher} (Dispatcher.java).
@@ -31,20 +33,12 @@
     private static final double PRIOR_SAMPLES = 12;
     /** Old samples fade so that a worker that changes its speed is seen within some thirty jobs. */
     private static final double MEMORY = 0.97;
-    /** Seconds for which a wait is remembered at least: longer than a queue of a few jobs lasts. */
-    private static final double REMEMBERED = 3;
     /** Slots that a kind is given until jobs show more or fewer; too many are seen as waits at once. */
     private static final double FIRST_SLOTS = 4;
     /** The second of two random choices takes most of the crowding off; more follow what all know. */
     private static final int CANDIDATES = 2;
     /** Rounds of probes for a job: a third pair finds a free worker wherever a fifth of them are free. */
     private static final int DRAWS = 3;
-    /** A turn at a cold worker has room for this many mean jobs, as most jobs are smaller. */
-    private static final double COLD_JOBS = 2;
-    /** Messages may cost this part of the worth: the least difference that measurements can tell. */
-    private static final double TOLD_WORTH = 0.01;
-    /** What a message of few letters is charged as, in bytes. */
-    private static final double MESSAGE = 16;
     /** How much of an unexplained wait is left where slots are free again and no others send jobs. */
     private static final double LASTING = 0.25;
     /** A worker that turned a job away is full until so many mean jobs have ended there. */
@@ -53,13 +47,8 @@
     private static final double SURELY = 0.7;
     /** So sure, it is given up. */
     private static final double CERTAINLY = 0.95;
-    /**
-     * Of the time within which the list must be asked: until it is asked again after one failure; then
-     * doubled.
-     */
-    private static final double FIRST_PAUSE = 0.005;
-    /** A dispatcher keeps to this many times its candidates: its own sight and connections stay fresh. */
-    private static final int POOL = 2;
+    /** Draws for each listed worker and each wanted one; where none fits, all are looked at. */
+    private static final int TRIES = 2;
 
     private final Settings settings;
     private final SplittableRandom random;
@@ -68,11 +57,13 @@
     private final double spread;
     private final double tellable;
     private final boolean asksWorkers;
+    /** Where others' work is unseen and a job may stand in two queues. */
+    private final boolean standsTwice;
     private List<Worker> near = List.of();
     private List<Worker> far = List.of();
     private double topAppeal;
     private long draws;
-    private int failedAsks;
+    private final ListCalls listCalls;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<Integer, Worker> byCode = new LinkedHashMap<>();
     private final Map<Long, Job> jobs = new LinkedHashMap<>();
@@ -80,35 +71,36 @@
     private final Map<Integer, Double> kindSlots = new LinkedHashMap<>();
     private final Map<Integer, Double> provenSlots = new LinkedHashMap<>();
     private final Health health;
+    private final ColdBudget cold;
     private final Ledger.Estimate fleetSpeed = new Ledger.Estimate();
     private final Ledger.Estimate jobWork = new Ledger.Estimate();
     private final Ledger.Shares shares;
-    private final Map<String, Alarm> armed = new LinkedHashMap<>();
+    private final Map<String, Ledger.Alarm> armed = new LinkedHashMap<>();
     private final Set<Job> gathered = new LinkedHashSet<>();
     private double meanWeight = 1;
     private long bornAt = Long.MAX_VALUE;
     private long now;
     private Consumer<? super Action> out;
 
-    /** What a timer does, and when it should. */
-    private record Alarm(long dueAt, Runnable due) {
-    }
-
     public Brain(Settings settings, long seed) {
         this.settings = settings;
         random = new SplittableRandom(seed);
         long aim = settings.classes().stream().mapToLong(JobClass::aim).min().orElse((long) SECOND);
         period = Math.max(2 * settings.resolution(), aim / 40);
-        sweepEvery = Math.max(period, aim / 4);
+        var rules = settings.rules();
+        listCalls = new ListCalls(settings.self(), settings.dispatchers(), rules.askEvery(), random);
+        cold = new ColdBudget(settings.self(), settings.dispatchers(), rules.coldFor(), rules.coldCapacity(),
+                rules.coldMultiple(), rules.coldWindow());
         health = new Health(settings.startsReported(), settings.progressInterval(), period,
                 settings.dispatchers());
-        double messagePrice = settings.prices().peerMessage() * (settings.dispatchers() - 1) * MESSAGE
-                / Prices.MESSAGE_BYTES;
-        tellable = settings.limits().peerMessages() ? TOLD_WORTH / Math.max(TOLD_WORTH, messagePrice) : 0;
+        tellable = Ledger.Note.tellable(settings);
         double unseen = 1 + (settings.dispatchers() - 1) * (1 - tellable);
         asksWorkers = settings.limits().probes() && !settings.reportFields().isEmpty()
                 && settings.dispatchers() > 1;
         spread = asksWorkers ? Double.MAX_VALUE : Math.pow(unseen, 2.0 / 3);
+        standsTwice = settings.startsReported() && settings.limits().secondCopies()
+                && settings.limits().cancel() && settings.dispatchers() > 1;
+        sweepEvery = standsTwice ? period : Math.max(period, aim / 4);
         shares = new Ledger.Shares(settings.tenants(), settings.dispatchers());
     }
 
@@ -174,13 +166,13 @@
         arm("tick", period, this::placeRound);
     }
 
-    private void ring(Alarm alarm) {
+    private void ring(Ledger.Alarm alarm) {
         health.woke(now, alarm.dueAt());
         alarm.due().run();
     }
 
     private void arm(String timer, long wait, Runnable due) {
-        if (armed.putIfAbsent(timer, new Alarm(now + wait, due)) == null) {
+        if (armed.putIfAbsent(timer, new Ledger.Alarm(now + wait, due)) == null) {
             out.accept(new SetTimer(now + wait, timer));
         }
     }
@@ -255,41 +247,23 @@
                 && now < job.firstRunAt() + job.jobClass.keyWindow() - settings.resolution();
     }
 
-    /** The least part of its capacity that a worker has by now; warming is never slower than even. */
     private double warmth(Worker worker) {
-        if (worker.info.startedAt() <= 0) {
-            return 1;
-        }
-        double age = (double) Math.max(0, now - worker.info.startedAt()) / settings.rules().coldFor();
-        double start = settings.rules().coldCapacity();
-        return Math.min(1, start + (1 - start) * age);
+        return cold.warmth(worker.info.startedAt(), now);
     }
 
     /**
-     * Guards a cold worker against falling over. All dispatchers together keep to half the budget, as before
-     * restarts of their own they may have sent as much already. Where a part of it is less than a job they
-     * take turns a window long, with half as many jobs as would fit, as a window may meet two turns.
-     * No job counts less than the mean: a flood of tiny ones pushes a cold worker over too.
+     * Guards a cold worker against falling over, with its part of what all dispatchers may send there. No job
+     * counts less than the mean: a flood of tiny ones pushes a cold worker over too.
      */
     private boolean coldAllows(Job job, Worker worker) {
         if (warmth(worker) >= 1) {
             return true;
         }
-        var rules = settings.rules();
         double proven = Math.max(worker.slotsSeen, provenSlots.getOrDefault(worker.info.kind(), 1.0));
-        double all = rules.coldMultiple() / 2 * proven * speed(worker) * warmth(worker)
-                * rules.coldWindow() / SECOND;
-        int dispatchers = settings.dispatchers();
-        double turns = Math.min(all / 2 / (COLD_JOBS * jobWork.mean), dispatchers);
-        double budget = all / dispatchers;
-        if (turns < dispatchers) {
-            long age = now - worker.info.startedAt();
-            int turn = Ledger.mixed(worker.code + (int) (age / rules.coldWindow()));
-            int place = Math.floorMod(settings.self() + turn, dispatchers);
-            boolean own = place < (int) turns && bornAt <= now - age % rules.coldWindow();
-            budget = own ? all / 2 / (int) turns : 0;
-        }
-        double sum = Math.max(job.work, jobWork.mean) + worker.workSentSince(now - rules.coldWindow());
+        double budget = cold.of(worker.code, worker.info.startedAt(), proven * speed(worker), jobWork.mean,
+                bornAt, now);
+        double sum = Math.max(job.work, jobWork.mean)
+                + worker.workSentSince(now - settings.rules().coldWindow());
         return sum <= budget && job.work <= budget / 2;
     }
 
@@ -345,7 +319,7 @@
         worker.queueing = Math.max(0, used - slots + 1) * ahead / used / worker.rate;
         double unanswered = worker.probedAt > worker.health.heardAt() ? jobWork.mean / worker.rate : 0;
         double unseen = worker.usedSlots < slots ? Math.max(LASTING, 1 - 1.0 / settings.dispatchers()) : 1;
-        double seen = Math.max(unseen * excess(worker), worker.health.delay(now)) + unanswered;
+        double seen = Math.max(unseen * worker.excess(now), worker.health.delay(now)) + unanswered;
         worker.wait = worker.queueing + seen;
         worker.x = ahead + seen * worker.rate;
     }
@@ -385,12 +359,11 @@
      */
     private List<Worker> draw(List<Worker> from, Job job, Worker except) {
         int wanted = Math.max(CANDIDATES, (int) ((near.size() + far.size()) / spread));
-        int reach = asksWorkers ? from.size() : Math.min(from.size(), POOL * wanted);
         var drawn = new ArrayList<Worker>();
         draws++;
-        int left = wanted < reach ? POOL * reach * wanted : 0;
+        int left = wanted < from.size() ? TRIES * from.size() * wanted : 0;
         while (left-- > 0 && drawn.size() < wanted) {
-            var worker = from.get(random.nextInt(reach));
+            var worker = from.get(random.nextInt(from.size()));
             if (worker == except || worker.drawn == draws || !permits(job, worker)
                     || !fits(job, worker)) {
                 continue;
@@ -526,12 +499,6 @@
         return Math.max(worker.slotsSeen, kindSlots.getOrDefault(worker.info.kind(), FIRST_SLOTS));
     }
 
-    /** The wait beyond what own jobs explain, seen lately: other dispatchers' work, or trouble. */
-    private double excess(Worker worker) {
-        double seconds = (now - worker.excessAt) / SECOND;
-        return worker.excess * Math.exp(-seconds / Math.max(REMEMBERED, worker.excess));
-    }
-
     /** How long no sign of life came from a worker with a job overdue; without progress notes none can. */
     private long silence(Attempt attempt) {
         long missing = attempt.awaited.missing(now);
@@ -554,10 +521,30 @@
         if (prompt == seen > slots) {
             kindSlots.put(worker.info.kind(), slots + (seen - slots) / (prompt ? 4 : 8));
         }
-        double unexplained = Math.max(0, (now - attempt.dueAt - way) / SECOND);
         if (!health.wasDeaf(now)) {
-            worker.missed(now, (excess(worker) + unexplained) / 2);
+            worker.missed(now, (worker.excess(now) + unexplained(attempt)) / 2);
         }
+        leaveOtherQueue(attempt);
+    }
+
+    /** A job that stands in two queues leaves one as it starts from the other. */
+    private void leaveOtherQueue(Attempt started) {
+        var attempts = standsTwice ? started.job.attempts : List.<Attempt>of();
+        for (var each : attempts) {
+            if (each != started && !each.ended && each.startedAt == 0 && !each.awaited.isTrial()) {
+                noteQueue(each);
+                out.accept(new Cancel(each.job.request.id(), each.job.attempts.indexOf(each)));
+            }
+        }
+    }
+
+    private void noteQueue(Attempt attempt) {
+        attempt.worker.missed(now, Math.max(attempt.worker.excess(now), unexplained(attempt)));
+    }
+
+    /** Seconds that it has waited for its start beyond what own work ahead of it and the way explain. */
+    private double unexplained(Attempt attempt) {
+        return health.wasDeaf(now) ? 0 : Math.max(0, (now - attempt.dueAt - health.way()) / SECOND);
     }
 
     private void judge(Attempt attempt, Outcome outcome) {
@@ -605,7 +592,7 @@
                     .filter(this::holdsForNothing).toList().forEach(this::cancel);
         }
         jobs.values().stream().filter(job -> !job.closed && job.outstanding == 1)
-                .map(Job::lastOut).filter(attempt -> attempt.lost || silence(attempt) > 0)
+                .map(Job::lastOut).filter(each -> each.lost || silence(each) > 0 || queuesUnseen(each))
                 .sorted((one, other) -> Long.compare(one.job.aimAt, other.job.aimAt)).toList()
                 .forEach(this::rescue);
         if (!jobs.isEmpty()) {
@@ -627,13 +614,25 @@
                 && (first || attempt.awaited.isUnheard(now));
     }
 
+    /**
+     * Whether a job waits for its start behind work that is not ours, and may stand in a second queue: that
+     * costs no work, as it leaves one when it starts from the other. An attempt is kept for failures.
+     */
+    private boolean queuesUnseen(Attempt attempt) {
+        return standsTwice && attempt.startedAt == 0 && !attempt.lost && attempt.awaited.missing(now) > 0
+                && attempt.job.attempts.size() < settings.limits().maxAttempts() - 1;
+    }
+
     /** Guards jobs against a silent worker: act when it will miss the aim and another worker would not. */
     private void rescue(Attempt attempt) {
         var job = attempt.job;
         double sure = attempt.awaited.gone(now);
+        boolean queues = queuesUnseen(attempt);
         double remaining = sure > SURELY ? Double.MAX_VALUE
                 : 2 * silence(attempt) / SECOND + job.length() / attempt.worker.speed;
-        if (!health.purse().affordsCopy(sure, now) || now + remaining * SECOND <= job.aimAt) {
+        if (queues) {
+            noteQueue(attempt);
+        } else if (!health.purse().affordsCopy(sure, now) || now + remaining * SECOND <= job.aimAt) {
             return;
         }
         boolean copies = settings.limits().secondCopies();
@@ -642,10 +641,13 @@
         job.outstanding += copies ? 0 : 1;
         double wait = other == null ? Double.MAX_VALUE : finish(other, job);
         boolean useful = now + wait * SECOND <= (job.jobClass.lateWorth() > 0 ? job.deadline : job.aimAt);
-        if (!useful || wait > remaining / 2) {
+        // What has waited for a while may well wait for as long again: only a shorter queue is worth it.
+        if (!useful || (queues ? other.wait * SECOND > attempt.awaited.missing(now) : wait > remaining / 2)) {
             return;
         }
-        health.purse().copy(sure, now);
+        if (!queues) {
+            health.purse().copy(sure, now);
+        }
         if (copies) {
             send(job, other);
         } else if (settings.limits().cancel()) {
@@ -654,9 +656,13 @@
     }
 
     private void follow(WorkerList list) {
-        failedAsks = list.kind() == ListKind.FAILED ? failedAsks + 1 : 0;
-        if (list.kind() == ListKind.FAILED || list.kind() == ListKind.CACHED && !settings.listPushed()) {
-            ask(list.kind() == ListKind.FAILED);
+        if (list.kind() == ListKind.FAILED) {
+            ask(listCalls.failed());
+        } else {
+            listCalls.heard();
+            if (list.kind() == ListKind.CACHED && !settings.listPushed()) {
+                ask(listCalls.first());
+            }
         }
         if (list.kind() == ListKind.COMPLETE || list.kind() == ListKind.CACHED) {
             workers.values().forEach(Worker::unlist);
@@ -665,6 +671,10 @@
         regroup();
     }
 
+    private void ask(long wait) {
+        arm("ask", wait, () -> out.accept(new Subscribe()));
+    }
+
     private void forget(WorkerInfo info) {
         if (workers.containsKey(info.id()) && workers.get(info.id()).isOver()) {
             byCode.values().remove(workers.remove(info.id()));
@@ -696,14 +706,4 @@
         worker.health.in(info.zone(), info.share());
         byCode.put(worker.code, worker);
     }
-
-    /** Staggers calls by dispatchers and workers listed, as restarts of many would drown the list. */
-    private void ask(boolean again) {
-        double others = settings.dispatchers() - 1;
-        double turn = (settings.self() + random.nextDouble()) / settings.dispatchers();
-        double pause =
-                Math.min(0.25, FIRST_PAUSE * Math.scalb(settings.dispatchers(), Math.min(9, failedAsks)));
-        double part = again ? pause * (1 + random.nextDouble()) : turn * others / (others + workers.size());
-        arm("ask", 1 + (long) (settings.rules().askEvery() * part), () -> out.accept(new Subscribe()));
-    }
 }
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -13,6 +13,7 @@
 import ryemast.health.Awaited;
 import ryemast.health.Box;
 import ryemast.health.Sign;
+import ryemast.limits.ColdBudget;
 
 /** The books that {@link Brain} keeps: what is out, where, since when. Nothing is decided here. */
 final class Ledger {
@@ -22,19 +23,23 @@
     private Ledger() {
     }
 
-    /** Spreads neighbouring numbers over all integers (the finalizer of MurmurHash3). */
-    static int mixed(int value) {
-        int mixed = (value ^ value >>> 16) * 0x85ebca6b;
-        mixed = (mixed ^ mixed >>> 13) * 0xc2b2ae35;
-        return mixed ^ mixed >>> 16;
-    }
-
     /** What a dispatcher tells its peers of a send: the worker's code and the work, in few bytes. */
     record Note(int worker, double work) {
         private static final Pattern FORM = Pattern.compile("[0-9a-z]{1,5}");
         private static final int CODES = 4096;
         private static final int SIZES = 64;
         private static final double SIZES_PER_E = 6;
+        /** Messages may cost this part of the worth: the least difference that measurements can tell. */
+        private static final double TOLD_WORTH = 0.01;
+        /** What a message of few letters is charged as, in bytes. */
+        private static final double MESSAGE = 16;
+
+        /** How many of the sends may be told of, from 0 to 1. */
+        static double tellable(Dispatcher.Settings settings) {
+            double price = settings.prices().peerMessage() * (settings.dispatchers() - 1) * MESSAGE
+                    / Dispatcher.Prices.MESSAGE_BYTES;
+            return settings.limits().peerMessages() ? TOLD_WORTH / Math.max(TOLD_WORTH, price) : 0;
+        }
 
         /** Empty for a text that another version may have sent. */
         static Optional<Note> of(String text) {
@@ -107,8 +112,15 @@
         }
     }
 
+    /** What a timer does, and when it should. */
+    record Alarm(long dueAt, Runnable due) {
+    }
+
     /** A worker, this dispatcher's work there, and the evidence about it. */
     static final class Worker {
+        /** Seconds for which a wait is remembered at least: longer than a queue of a few jobs lasts. */
+        private static final double REMEMBERED = 3;
+
         final String id;
         /** The id in a few bits; two workers may share it. */
         final int code;
@@ -127,8 +139,8 @@
         final Estimate logSpeed = new Estimate();
         double slotsSeen = 1;
         /** Seconds waited beyond what own work explains. */
-        double excess;
-        long excessAt;
+        private double excess;
+        private long excessAt;
         /** What is believed of its health. */
         final Box health;
         /** Time and work of every send within the last cold window. */
@@ -146,8 +158,13 @@
         Worker(String id, int dispatcher, Box health) {
             this.id = id;
             this.health = health;
-            code = mixed(id.hashCode()) & Note.CODES - 1;
-            order = mixed(code + dispatcher);
+            code = ColdBudget.mixed(id.hashCode()) & Note.CODES - 1;
+            order = ColdBudget.mixed(code + dispatcher);
+        }
+
+        /** The wait beyond what own jobs explain, seen lately: other dispatchers' work, or trouble. */
+        double excess(long now) {
+            return excess * Math.exp((excessAt - now) / SECOND / Math.max(REMEMBERED, excess));
         }
 
         void missed(long now, double seconds) {
--- /dev/null
+++ b/decisions/src/test/java/pipitladder/CrowdTest.java
@@ -0,0 +1,139 @@
+package pipitladder;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pipitladder.Stage.MS;
+import static pipitladder.Stage.S;
+import static pipitladder.Stage.worker;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pipitladder.Dispatcher.Cancel;
+import pipitladder.Dispatcher.Effect;
+import pipitladder.Dispatcher.KeyScope;
+import pipitladder.Dispatcher.Outcome;
+import pipitladder.Dispatcher.Send;
+import pipitladder.Dispatcher.WorkerInfo;
+
+/** One of a hundred dispatchers: it has a hundredth of the traffic and sees nothing of the rest. */
+class CrowdTest {
+
+    private static final int DISPATCHERS = 100;
+    private static final WorkerInfo[] FLEET = new WorkerInfo[60];
+
+    static {
+        for (int i = 0; i < FLEET.length; i++) {
+            FLEET[i] = worker("w" + i);
+        }
+    }
+
+    private static Stage stage(Effect effect, int dispatchers, long seed, WorkerInfo... workers) {
+        var stage = new Stage(Stage.settings(List.of(Stage.jobClass(effect, KeyScope.ALL)), List.of(), true,
+                true, dispatchers), seed);
+        stage.list(workers);
+        return stage;
+    }
+
+    /** Places a job, which starts and ends as soon as it can; returns its worker. */
+    private static String serve(Stage stage, long id) {
+        stage.request(id);
+        stage.pass(11 * MS);
+        stage.start(id, 0);
+        stage.pass(200 * MS);
+        stage.end(id, 0, Outcome.SUCCESS);
+        return stage.lastWorker(id);
+    }
+
+    private static Stage seasoned(Effect effect, int dispatchers) {
+        var stage = stage(effect, dispatchers, 1, worker("a"), worker("b"), worker("c"));
+        for (int id = 1; id <= 30; id++) {
+            serve(stage, id);
+        }
+        return stage;
+    }
+
+    /** A few favourites each, and by chance some workers have twice as many dispatchers as others. */
+    @Test
+    void oneDispatcherSpreadsItsJobsOverTheWholeFleet() {
+        var stage = stage(Effect.REPEATABLE, DISPATCHERS, 1, FLEET);
+        var used = new HashSet<String>();
+        for (int id = 1; id <= 240; id++) {
+            used.add(serve(stage, id));
+        }
+        assertTrue(used.size() > 50, used.size() + " of 60 workers");
+    }
+
+    /** One of them has ten times the traffic of each of the others, as the front has it. */
+    @Test
+    void aBusyDispatcherOverloadsNoWorker() {
+        var sent = new HashMap<String, Integer>();
+        int all = 0;
+        for (int self = 0; self < 20; self++) {
+            var stage = stage(Effect.REPEATABLE, DISPATCHERS, self, FLEET);
+            for (int id = 1; id <= (self == 0 ? 300 : 30); id++) {
+                sent.merge(serve(stage, id), 1, Integer::sum);
+                all++;
+            }
+        }
+        int most = sent.values().stream().mapToInt(each -> each).max().orElseThrow();
+        assertTrue(most < 2.5 * all / FLEET.length, most + " of " + all + " jobs at one of 60 workers");
+    }
+
+    @Test
+    void aJobThatWaitsBehindOthersWorkStandsInASecondQueueUntilItStarts() {
+        var stage = seasoned(Effect.REPEATABLE, DISPATCHERS);
+        stage.request(100);
+        stage.pass(40 * MS);
+        var sends = stage.sends(100);
+        assertEquals(2, sends.size());
+        assertNotEquals(sends.get(0).worker(), sends.get(1).worker());
+        assertEquals(List.of(), stage.all(Cancel.class));
+        stage.start(100, 1);
+        assertEquals(List.of(new Cancel(100, 0)), stage.all(Cancel.class));
+        stage.end(100, 0, Outcome.CANCELLED);
+        stage.pass(100 * MS);
+        assertEquals(2, stage.sends(100).size());
+        stage.end(100, 1, Outcome.SUCCESS);
+    }
+
+    /** The earlier of the two queues may be the shorter one all the same. */
+    @Test
+    void whicheverStartsFirstTheOtherIsLeft() {
+        var stage = seasoned(Effect.REPEATABLE, DISPATCHERS);
+        stage.request(100);
+        stage.pass(40 * MS);
+        stage.start(100, 0);
+        assertEquals(List.of(new Cancel(100, 1)), stage.all(Cancel.class));
+    }
+
+    /** Jobs of ours that lie ahead explain the wait: the second queue would be no shorter for all we know. */
+    @Test
+    void aloneADispatcherKnowsWhatIsAheadOfAJob() {
+        var stage = seasoned(Effect.REPEATABLE, 1);
+        stage.request(100);
+        stage.pass(40 * MS);
+        assertEquals(1, stage.sends(100).size());
+    }
+
+    @Test
+    void whatMustRunOnceStandsInOneQueueOnly() {
+        var stage = seasoned(Effect.UNSAFE, DISPATCHERS);
+        stage.request(100);
+        stage.pass(5 * S);
+        assertEquals(1, stage.sends(100).size());
+        assertEquals(List.of(), stage.all(Cancel.class));
+    }
+
+    @Test
+    void aJobThatHasStartedIsNotSentTwiceForItsWait() {
+        var stage = seasoned(Effect.REPEATABLE, DISPATCHERS);
+        stage.request(100);
+        stage.pass(11 * MS);
+        stage.start(100, 0);
+        stage.pass(150 * MS);
+        assertEquals(1, stage.all(Send.class).stream().filter(send -> send.request() == 100).count());
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/ryemast/pacing/ListCallsTest.java
@@ -0,0 +1,50 @@
+package ryemast.pacing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class ListCallsTest {
+
+    private static final long SECOND = 1_000_000;
+
+    private static ListCalls calls(int self, int dispatchers) {
+        return new ListCalls(self, dispatchers, 10 * SECOND, new SplittableRandom(self));
+    }
+
+    @Test
+    void aloneItAsksAtOnceAndManyAskInTurn() {
+        assertEquals(1, calls(0, 1).first());
+        var perSecond = new int[10];
+        for (int self = 0; self < 100; self++) {
+            perSecond[(int) (calls(self, 100).first() / SECOND)]++;
+        }
+        for (int calls : perSecond) {
+            assertEquals(10, calls, 1);
+        }
+    }
+
+    @Test
+    void thoseWhoFailTogetherDoNotComeBackTogether() {
+        var waits = new HashSet<Long>();
+        for (int self = 0; self < 100; self++) {
+            waits.add(calls(self, 100).failed() / 50_000);
+        }
+        assertTrue(waits.size() > 25, "only " + waits.size() + " of 50 parts of the pause");
+    }
+
+    @Test
+    void theWaitDoublesWithEachFailureInARowUpToAQuarterOfTheTime() {
+        var alone = calls(0, 1);
+        long longest = 0;
+        for (int i = 0; i < 12; i++) {
+            longest = Math.max(longest, alone.failed());
+        }
+        assertTrue(longest > 2 * SECOND && longest <= 5 * SECOND, longest + " us");
+        alone.heard();
+        assertTrue(alone.failed() <= 210_000);
+    }
+}
