--- a/decisions/src/main/java/ryemast/pacing/ListCalls.java
+++ b/decisions/src/main/java/ryemast/pacing/ListCalls.java
@@ -11,7 +11,8 @@
 
     /**
      * Of the time within which the list must be asked: how far apart the first calls are, dispatcher by
-     * dispatcher. 40 calls a second for a list of 66 were answered within 0.3 s; one that fails costs a pause.
+     * dispatcher. 40 calls a second for a list of 66 were answered within 0.3 s; one that fails costs a
+     * pause.
      */
     private static final double TURN = 0.0025;
     /** Of the same: the pause after one failure, for each dispatcher. */
--- a/decisions/src/test/java/pipitladder/CrowdTest.java
+++ b/decisions/src/test/java/pipitladder/CrowdTest.java
@@ -119,7 +119,7 @@
         assertEquals(List.of(), stage.all(Cancel.class));
     }
 
-    /** A worker of which nothing was seen lately looked idle, however long jobs had waited at all of its like. */
+    /** A worker of which nothing was seen lately looked idle, however long jobs had waited at its like. */
     @Test
     void whereWarmWorkersMakeJobsWaitAColdOneIsTaken() {
         int cold = 0;
