Break ties by the earliest start that ends in time, so large jobs leave quick queues alone

Cause: nearly all workers tie in the payoff once the usual wait exceeds a period, and Brain.best gave ties to the earliest finish, so that a job with seconds to spare joined the queue at a quick worker. Ruled out: refusals (below 0.5%), own processor (first sends after 15 ms for 19 in 20), the cold budget (the model breaks the cold rule at twice of it).

Among tied workers that end the job within its aim the earliest start is taken, else the earliest finish as before.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -25,7 +25,7 @@
  * <p>Period-Payoff Dispatch: requests gathered during a period are placed as one round at its tick, each on
  * the eligible worker with the largest gain in (sum of min{x+u, alpha} - longest clearing time), one period
  * ahead. Work is in slot-microseconds, clearing time in periods. Gains less than a period apart tie; a tie
- * goes to the earliest expected finish. docs/design.md lists each exception.
+ * goes to the earliest start that ends in time, else to the earliest finish. docs/design.md has exceptions.
  */
 public final class Brain implements Dispatcher {
 
@@ -44,6 +44,8 @@
     private static final double CERTAINLY = 0.95;
     /** Draws for each listed worker and each wanted one; where none fits, all are looked at. */
     private static final int TRIES = 2;
+    /** More seconds than any job takes. */
+    private static final double NEVER = 1e6;
 
     private final Settings settings;
     private final SplittableRandom random;
@@ -341,8 +343,21 @@
         return settings.prices().crossZone() * Math.max(0, job.aimAt - now) / SECOND;
     }
 
+    private double start(Worker worker, Job job) {
+        return worker.wait + (isNear(worker) ? 0 : toll(job));
+    }
+
     private double finish(Worker worker, Job job) {
-        return worker.wait + (isNear(worker) ? 0 : toll(job)) + job.length() / worker.speed;
+        return start(worker, job) + job.length() / worker.speed;
+    }
+
+    /**
+     * Breaks ties: where it would end within its aim a job goes where it starts first, so that it leaves the
+     * queues at quick workers to those that need them; else where it ends first.
+     */
+    private double lateness(Worker worker, Job job) {
+        double finish = finish(worker, job);
+        return now + finish * SECOND <= job.aimAt ? start(worker, job) - NEVER : finish;
     }
 
     /**
@@ -422,7 +437,7 @@
     private Worker best(Job job, List<Worker> candidates) {
         Worker best = null;
         double bestGain = 0;
-        double bestFinish = 0;
+        double bestLate = 0;
         double longest = 0;
         boolean anyFits = candidates.stream().anyMatch(worker -> fits(job, worker));
         for (var worker : candidates) {
@@ -435,11 +450,11 @@
             }
             double served = Math.min(job.work, Math.max(0, worker.cleared - worker.x));
             double gain = served * SECOND - Math.max(0, clearing(worker, job.work) - longest);
-            double finish = finish(worker, job);
-            if (best == null || gain > bestGain + 1 || gain > bestGain - 1 && finish < bestFinish) {
+            double late = lateness(worker, job);
+            if (best == null || gain > bestGain + 1 || gain > bestGain - 1 && late < bestLate) {
                 best = worker;
                 bestGain = gain;
-                bestFinish = finish;
+                bestLate = late;
             }
         }
         return best;
--- a/lab/src/main/java/ryemast/lab/model/ModelSite.java
+++ b/lab/src/main/java/ryemast/lab/model/ModelSite.java
@@ -101,7 +101,7 @@
             var file = new DispatcherSettings(site.scenario()).configuration(host.number(), "127.0.0.1:1",
                     "127.0.0.1:2", seed, NOTHING_KNOWN);
             var instance = new Instance(host.number(), site, Config.of(file, tuning), policy, over);
-            instance.begin(site.lists().read(site.catalogue().whole(host.number())));
+            instance.begin(site.lists().read(site.catalogue().known(host.number())));
             return instance;
         } catch (ConfigException | IOException e) {
             throw new IllegalStateException("a dispatcher's own settings can't be read: " + e.getMessage(),
--- a/lab/src/main/java/ryemast/lab/site/Catalogue.java
+++ b/lab/src/main/java/ryemast/lab/site/Catalogue.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonPrimitive;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -39,6 +40,10 @@
     private final Books books;
     private final Map<Integer, Entry> entries = new HashMap<>();
     private final TreeMap<Long, Entry> latest = new TreeMap<>();
+    /** All that was ever listed, for {@link #known}. */
+    private final List<Line> lines = new ArrayList<>();
+    /** By dispatcher, the last version that it was told. */
+    private final Map<Integer, Long> heard = new HashMap<>();
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
     private final Map<Tell, Call> calls = new LinkedHashMap<>();
     private Timeline.Timer serving;
@@ -64,14 +69,25 @@
         }
     }
 
-    /** The present version: that of {@link #whole}. */
+    /** The present version. */
     public long version() {
         return version;
     }
 
-    /** The whole list as a dispatcher would be given it now; nothing is written to the books. */
-    public String whole(int dispatcher) {
-        return json(dispatcher, true, latest.values());
+    /**
+     * The whole list as a dispatcher last had it, which is what its configuration holds when it starts; one
+     * that has heard nothing yet is given the present one. Nothing is written to the books.
+     */
+    public String known(int dispatcher) {
+        long upTo = heard.getOrDefault(dispatcher, version);
+        var then = new LinkedHashMap<Entry, Line>();
+        for (var line : lines) {
+            if (line.version <= upTo) {
+                then.remove(line.entry);
+                then.put(line.entry, line);
+            }
+        }
+        return json(dispatcher, upTo, true, then.values());
     }
 
     /** A call has come in; {@code from} is what version a watch knows. */
@@ -155,9 +171,9 @@
         private final BoxSpec spec;
         private final String head;
         private final String middle;
-        private String tail;
         private News shown;
         private long version;
+        private Line line;
         /** Changes that are still to be listed. */
         private final ArrayDeque<Pending> pending = new ArrayDeque<>();
 
@@ -173,6 +189,10 @@
     private record Pending(News news, Timeline.Timer timer) {
     }
 
+    /** A box as it was listed from this version on. */
+    private record Line(Entry entry, long version, BoxState state, String tail) {
+    }
+
     private void heard(News news) {
         var entry = entries.get(news.box());
         if (news.manner() == News.Manner.KNOWN) {
@@ -208,11 +228,12 @@
         }
         entry.shown = news;
         entry.version = ++version;
-        entry.tail = switch (news.state()) {
+        entry.line = new Line(entry, version, news.state(), switch (news.state()) {
             case READY -> "Ready";
             case DRAINING -> "Terminating";
             default -> "Gone";
-        } + "\",\"weight\":" + entry.spec.weight() + ",\"started_ms\":" + news.startedAt() / 1_000 + "}";
+        } + "\",\"weight\":" + entry.spec.weight() + ",\"started_ms\":" + news.startedAt() / 1_000 + "}");
+        lines.add(entry.line);
         latest.put(entry.version, entry);
         books.listable(news.box(), time.now(), news.state(), news.startedAt());
     }
@@ -284,7 +305,8 @@
         }
         call.knows = version;
         call.spokeAt = now;
-        call.tell.line(json(call.dispatcher, whole, told));
+        heard.put(call.dispatcher, version);
+        call.tell.line(json(call.dispatcher, version, whole, told.stream().map(each -> each.line).toList()));
     }
 
     private void beatLater(Call call) {
@@ -301,18 +323,19 @@
         });
     }
 
-    private String json(int dispatcher, boolean whole, Collection<Entry> told) {
+    private String json(int dispatcher, long upTo, boolean whole, Collection<Line> told) {
         var json = new StringBuilder(64 + 160 * told.size());
-        json.append("{\"version\":").append(version).append(",\"full\":").append(whole)
+        json.append("{\"version\":").append(upTo).append(",\"full\":").append(whole)
                 .append(",\"servers\":[");
         boolean first = true;
-        for (var entry : told) {
-            if (whole && entry.shown.state() == BoxState.DOWN) {
+        for (var line : told) {
+            if (whole && line.state == BoxState.DOWN) {
                 continue;
             }
+            var entry = line.entry;
             json.append(first ? "" : ",").append(entry.head)
                     .append(addresses.address(dispatcher, entry.spec.index()))
-                    .append(entry.middle).append(entry.tail);
+                    .append(entry.middle).append(line.tail);
             first = false;
         }
         return json.append("]}").toString();
--- a/lab/src/main/java/ryemast/lab/sockets/ConsulTables.java
+++ b/lab/src/main/java/ryemast/lab/sockets/ConsulTables.java
@@ -69,7 +69,7 @@
     }
 
     @Override
-    public String whole(int dispatcher) {
+    public String known(int dispatcher) {
         return NOBODY;
     }
 
--- a/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
+++ b/lab/src/main/java/ryemast/lab/sockets/EmulatedSite.java
@@ -280,7 +280,7 @@
     private String configuration(int dispatcher) {
         return new DispatcherSettings(scenario).configuration(dispatcher,
                 Addresses.text(addresses.get(dispatcher)), tables.address(dispatcher),
-                seeds.get(dispatcher).nextLong(), site.ask(() -> tables.whole(dispatcher))).toString();
+                seeds.get(dispatcher).nextLong(), site.ask(() -> tables.known(dispatcher))).toString();
     }
 
     private void awaitExternal() throws IOException {
--- a/lab/src/main/java/ryemast/lab/sockets/PlatformTables.java
+++ b/lab/src/main/java/ryemast/lab/sockets/PlatformTables.java
@@ -52,8 +52,8 @@
     }
 
     @Override
-    public String whole(int dispatcher) {
-        return catalogue.whole(dispatcher);
+    public String known(int dispatcher) {
+        return catalogue.known(dispatcher);
     }
 
     @Override
--- a/lab/src/main/java/ryemast/lab/sockets/TablesAt.java
+++ b/lab/src/main/java/ryemast/lab/sockets/TablesAt.java
@@ -14,7 +14,7 @@
     String address(int dispatcher);
 
     /** The list as a dispatcher is handed it at its start; to be asked on the boxes' shard. */
-    String whole(int dispatcher);
+    String known(int dispatcher);
 
     /** The operator file that a dispatcher needs for it; null where it needs none. */
     Path operatorFile(int dispatcher);
--- a/lab/src/test/java/ryemast/lab/site/CatalogueTest.java
+++ b/lab/src/test/java/ryemast/lab/site/CatalogueTest.java
@@ -1,6 +1,7 @@
 package ryemast.lab.site;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -62,7 +63,7 @@
                 + "{\"id\":\"s-0\",\"addr\":\"h0:1\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":3,"
                 + "\"state\":\"Ready\",\"weight\":1.0,\"started_ms\":0},"
                 + "{\"id\":\"s-1\",\"addr\":\"h1:1\",\"zone\":\"a\",\"kind\":\"m\",\"cell\":3,"
-                + "\"state\":\"Ready\",\"weight\":1.0,\"started_ms\":0}]}", catalogue.whole(1));
+                + "\"state\":\"Ready\",\"weight\":1.0,\"started_ms\":0}]}", catalogue.known(1));
         call("c", false, 0);
         assertEquals(List.of("5 c 200", "5 listed to 0: 0 READY", "5 listed to 0: 1 READY",
                 "5 c version:2,full:true,servers:" + S0 + "," + S1), said(1_000, ".*"));
@@ -100,13 +101,27 @@
                 said(100, "[wxy] v"));
     }
 
+    @Test
+    void aDispatcherThatStartsAnewIsHandedTheListThatItHadLast() {
+        var watch = call("w", true, 2);
+        rig.at(100, rig.box::drain);
+        rig.run(150);
+        catalogue.gone(watch);
+        rig.at(200, rig.box::stop);
+        rig.at(260, rig.box::start);
+        rig.run(600);
+        assertTrue(catalogue.known(0).startsWith("{\"version\":3,"), catalogue.known(0));
+        assertTrue(catalogue.known(0).contains("Terminating"), catalogue.known(0));
+        assertFalse(catalogue.known(1).contains("Terminating"), catalogue.known(1));
+    }
+
     @Test
     void aRestartIsListedWithItsTimeAndOvertakesTheCrashThatNobodyToldOf() {
         rig.at(0, rig.box::crash);
         rig.at(60, rig.box::start);
         rig.at(300, boxes.get(1)::vanish);
         assertEquals(List.of("70 listable 0 READY", "400 listable 1 DOWN"), said(1_000, "listable"));
-        assertTrue(catalogue.whole(0).contains("\"started_ms\":" + (Rig.START + 60) / 1_000));
+        assertTrue(catalogue.known(0).contains("\"started_ms\":" + (Rig.START + 60) / 1_000));
     }
 
     @Test
