--- a/lab/src/main/java/ryemast/lab/site/Catalogue.java
+++ b/lab/src/main/java/ryemast/lab/site/Catalogue.java
@@ -172,7 +172,6 @@
         private final String head;
         private final String middle;
         private News shown;
-        private long version;
         private Line line;
         /** Changes that are still to be listed. */
         private final ArrayDeque<Pending> pending = new ArrayDeque<>();
@@ -224,17 +223,16 @@
 
     private void list(Entry entry, News news) {
         if (entry.shown != null) {
-            latest.remove(entry.version);
+            latest.remove(entry.line.version);
         }
         entry.shown = news;
-        entry.version = ++version;
-        entry.line = new Line(entry, version, news.state(), switch (news.state()) {
+        entry.line = new Line(entry, ++version, news.state(), switch (news.state()) {
             case READY -> "Ready";
             case DRAINING -> "Terminating";
             default -> "Gone";
         } + "\",\"weight\":" + entry.spec.weight() + ",\"started_ms\":" + news.startedAt() / 1_000 + "}");
         lines.add(entry.line);
-        latest.put(entry.version, entry);
+        latest.put(version, entry);
         books.listable(news.box(), time.now(), news.state(), news.startedAt());
     }
 
