Count calls at cold workers, bound waits for the list, and name when a send may begin

Cause, lists: ListCalls.failed could wait half of the time for asking, or up to ten windows of a quarter of it, whatever the settings say; a change counts as told 6 s after discovery could be reached. No wait is over 3.6 s now, and none ends over 5 s after the last call's beginning.

Cause, second attempts: Job.mayStillBeAt knew given-up attempts only, so that a trial could go beside a copy to the worker that already had the job.

Send.beginBy: the last moment at which a repeat of a keyed job may be written, as connections take time to come up.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -282,8 +282,8 @@
             health.purse().repeat(now);
         }
         worker.sent(now, Math.max(job.work, jobWork.mean), settings.rules().coldWindow());
-        worker.take(new Attempt(job, worker, now, now + (long) (worker.queueing * SECOND)));
-        out.accept(new Send(job.request.id(), worker.id, 0));
+        var attempt = worker.take(new Attempt(job, worker, now, now + (long) (worker.queueing * SECOND)));
+        out.accept(new Send(job.request.id(), worker.id, 0, attempt.beginBy));
         tellPeers(job, worker);
         arm("sweep", sweepEvery, this::sweep);
     }
--- a/decisions/src/main/java/pipitladder/Dispatcher.java
+++ b/decisions/src/main/java/pipitladder/Dispatcher.java
@@ -208,8 +208,20 @@
     /** What a dispatcher wants done. */
     sealed interface Action { }
 
-    /** Start the request's next attempt; they are numbered from 0. {@code timeOut} 0: until the deadline. */
-    record Send(long request, String worker, long timeOut) implements Action { }
+    /**
+     * Start the request's next attempt; they are numbered from 0.
+     *
+     * @param timeOut  0: until the deadline
+     * @param beginBy  the last moment at which it may be written to the worker, as connections take time to
+     *                 come up; later it must not begin, which is {@link Outcome#NOT_SENT}
+     */
+    record Send(long request, String worker, long timeOut, long beginBy) implements Action {
+
+        /** One that may begin at any time until its time-out. */
+        public Send(long request, String worker, long timeOut) {
+            this(request, worker, timeOut, Long.MAX_VALUE);
+        }
+    }
 
     /** Stop waiting for an attempt. */
     record Cancel(long request, int attempt) implements Action { }
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -227,12 +227,13 @@
             return told.stream().filter(each -> each.at() < time).count();
         }
 
-        void take(Attempt attempt) {
+        Attempt take(Attempt attempt) {
             attempts.add(attempt);
             attempt.job.attempts.add(attempt);
             attempt.job.outstanding++;
             usedSlots += attempt.job.request.slots();
             work += attempt.job.work;
+            return attempt;
         }
 
         void started(Attempt attempt, long now) {
@@ -293,6 +294,8 @@
         final long sentAt;
         /** When it should start by own work alone. */
         final long dueAt;
+        /** Until when it may be written to the worker. */
+        final long beginBy;
         final Awaited awaited;
         final double workAhead;
         long startedAt;
@@ -311,6 +314,7 @@
             this.worker = worker;
             this.sentAt = sentAt;
             this.dueAt = dueAt;
+            this.beginBy = job.repeatsBeginBy();
             this.awaited = worker.health.sent(sentAt, dueAt, job.length() / Math.max(1e-3, worker.speed),
                     job.request.jobClass());
             this.workAhead = worker.work;
@@ -399,12 +403,13 @@
         }
 
         /**
-         * Whether an attempt there was given up. Word of that goes by a way of its own and may come late or
-         * not at all, so that the worker may still have the job, and it gets one attempt of a job at a time.
+         * Whether an attempt there is out or was given up. Word of the latter goes by a way of its own and
+         * may come late or not at all, so that the worker may still have the job, and it gets one attempt of
+         * a job at a time.
          */
         boolean mayStillBeAt(Worker worker) {
             for (var attempt : attempts) {
-                if (attempt.givenUp && attempt.worker == worker) {
+                if ((!attempt.ended || attempt.givenUp) && attempt.worker == worker) {
                     return true;
                 }
             }
@@ -440,6 +445,14 @@
             return Long.MAX_VALUE;
         }
 
+        /**
+         * Until when a further attempt may begin: workers drop the repeats of a keyed job for a while only.
+         */
+        long repeatsBeginBy() {
+            return jobClass.effect() == Dispatcher.Effect.KEYED && mayHaveRun()
+                    ? firstRunAt() + jobClass.keyWindow() : Long.MAX_VALUE;
+        }
+
         /** Whether a worker shares its memory of keys with every worker that may have run the job. */
         boolean keyReaches(WorkerInfo other) {
             for (var attempt : attempts) {
--- a/decisions/src/main/java/ryemast/limits/ColdBudget.java
+++ b/decisions/src/main/java/ryemast/limits/ColdBudget.java
@@ -6,14 +6,15 @@
  * What one dispatcher may send to a box that has started lately, so that all of them together do not push it
  * over: the protocol's fourth rule, as a budget of work for every window of the rule's length.
  *
- * <p>A box bears N mean jobs of its present capacity in a window, and two roots of N and two jobs more for
- * chance. Where what boxes clear is promised ({@link PromisedCapacity}) all dispatchers keep to two thirds
- * of that, where it is a guess to half. Where an equal part has room for two mean jobs, each has its part.
- * Where it has not, they stand in line, in an order that changes with each window: whoever is at place n may
- * send one job of at most an n-th of half of what all may send, as a window of the rule's may meet two of
- * these. So jobs of any one size come to what all may send at most; small ones go out as well as large ones,
- * though no dispatcher has many. The line follows from the box, its start and the dispatchers' numbers alone,
- * which all know ({@link Turns}). Times are microseconds; it keeps no state.
+ * <p>A box bears N calls of mean work of its present capacity in a window, and for chance two roots of N and
+ * two calls more; three and three where N is under 30. It is their number that counts, so that a small job
+ * uses up as much of the budget as a mean one; a large one uses up its work, in case that counts as well.
+ * Where what boxes clear is promised ({@link PromisedCapacity}) all dispatchers keep to two thirds of that,
+ * where it is a guess to half. Where an equal part has room for two mean jobs, each has its part. Where it
+ * has not, they stand in line, in an order that changes with each window: whoever is at place n may send one
+ * job of at most an n-th of half of what all may send, as a window of the rule's may meet two of these. So
+ * jobs of any one size come to what all may send at most. The line follows from the box, its start and the
+ * dispatchers' numbers alone, which all know ({@link Turns}). Times are microseconds; it keeps no state.
  */
 public final class ColdBudget {
 
@@ -21,10 +22,13 @@
     /** Jobs that an equal part must have room for: most are smaller than the mean. */
     private static final int JOBS_IN_A_PART = 2;
     /**
-     * What the rule leaves to chance, as the operators state it: beside a budget of N mean jobs a box bears
-     * two roots of N and two jobs more. Without it no job larger than the budget could go out at all.
+     * What the rule leaves to chance, as the operators state it: beside a budget of N calls a box bears two
+     * roots of N and two calls more. Without it no job larger than the budget could go out at all.
      */
     private static final double CHANCE = 2;
+    /** The same where the budget is of few calls. */
+    private static final double CHANCE_OF_FEW = 3;
+    private static final double FEW = 30;
     /** The part of the rule that all keep to: a box whose size is told half too large bears it still. */
     private static final double OF_PROMISED = 0.65;
     private static final double OF_GUESSED = 0.5;
@@ -84,7 +88,8 @@
         }
         long age = now - startedAt;
         int place = Turns.rotated(code, age / window, self, dispatchers);
-        return sent <= 0 && bornAt <= now - age % window && Turns.fits(job, all / 2, place);
+        return sent <= 0 && bornAt <= now - age % window
+                && Turns.fits(Math.max(job, meanJob), all / 2, place);
     }
 
     /**
@@ -93,13 +98,14 @@
      */
     public double weight(long startedAt, double capacity, double meanJob, double job, long now) {
         return Math.max(1, Math.min(dispatchers,
-                2 * dispatchers * job / all(startedAt, capacity, meanJob, now)));
+                2 * dispatchers * Math.max(job, meanJob) / all(startedAt, capacity, meanJob, now)));
     }
 
     /** What all dispatchers together may send within a window. */
     private double all(long startedAt, double capacity, double meanJob, long now) {
         double jobs = multiple * capacity * warmth(startedAt, now) * window / SECOND / meanJob;
-        return kept * meanJob * (jobs + CHANCE * Math.sqrt(jobs) + CHANCE);
+        double chance = jobs < FEW ? CHANCE_OF_FEW : CHANCE;
+        return kept * meanJob * (jobs + chance * Math.sqrt(jobs) + chance);
     }
 
     /** Spreads neighbouring numbers over all integers, as {@link Turns#mixed} does. */
--- a/decisions/src/main/java/ryemast/membership/Listing.java
+++ b/decisions/src/main/java/ryemast/membership/Listing.java
@@ -16,4 +16,9 @@
     public Listing {
         sightings = List.copyOf(sightings);
     }
+
+    /** The same with other sightings. */
+    public Listing with(List<Sighting> others) {
+        return new Listing(source, version, complete, age, others);
+    }
 }
--- a/decisions/src/main/java/ryemast/membership/Sighting.java
+++ b/decisions/src/main/java/ryemast/membership/Sighting.java
@@ -39,6 +39,12 @@
                 && why.equals(other.why);
     }
 
+    /** The same with another start. */
+    public Sighting startedAt(long other) {
+        return other == startedAt ? this : new Sighting(id, address, condition, kind, zone, cell, weight,
+                other, registered, warnedShare, why);
+    }
+
     public Sighting as(Condition other, String words) {
         return new Sighting(id, address, other, kind, zone, cell, weight, startedAt, registered,
                 warnedShare, words);
--- a/decisions/src/main/java/ryemast/pacing/ListCalls.java
+++ b/decisions/src/main/java/ryemast/pacing/ListCalls.java
@@ -15,6 +15,9 @@
  * time of a call, and the rest leave the line together. In which window is drawn, among more of them after
  * each such failure. Clocks that differ spread a wave out, which costs answers and breaks nothing.
  *
+ * <p>No wait is longer than {@link #LONGEST_WAIT}, however often calls have failed and whatever the time for
+ * asking is: what discovery has counts as told 6 s after it could be reached again.
+ *
  * <p>Where lists are pushed, each dispatcher hears from an agent of its own, and what that has counts as
  * told whether or not anybody listens: nobody else's calls are in the way, so pauses are short and alike.
  */
@@ -32,8 +35,22 @@
     private static final int MOST_DOUBLINGS = 9;
     /** Of the same: discovery that is down or gone says so sooner, at most a connection's second later. */
     private static final double IN_LINE = 0.15;
-    /** Of the same: a wave's window. Its calls are over, answered or not, when the next wave begins. */
+    /**
+     * No longer than this between a failure and the next call, in microseconds: of the 6 s after which a
+     * change counts as told 2.4 s are left for its connection, its wait in line and its answer.
+     */
+    static final long LONGEST_WAIT = 3_600_000;
+    /** No longer than this between the beginnings of two calls, in microseconds, for the same reason. */
+    private static final long BETWEEN_CALLS = 5_000_000;
+    /** A call that took longer than that is followed by a pause all the same, in microseconds. */
+    private static final long SHORTEST_LONGEST_WAIT = 500_000;
+    /**
+     * Of the time for asking: a wave's window. Its calls are over, answered or not, when the next wave
+     * begins.
+     */
     private static final double WINDOW = 0.25;
+    /** Of the longest wait: what a window may last at most, so that the whole wave is within it. */
+    private static final double WINDOW_OF_WAIT = 0.9;
     /**
      * Of a window: how far a wave is spread, so that 150 calls are 600 a second. A fifth costs a tenth of
      * the answers at four calls a second, a tenth none.
@@ -109,12 +126,20 @@
         }
         double pause = Math.min(LONGEST_PAUSE,
                 FIRST_PAUSE * Math.scalb(dispatchers, Math.min(MOST_DOUBLINGS, failures)));
-        return asksAfter(now, 1 + (long) (askEvery * pause * (1 + random.nextDouble())));
+        double shortest = Math.min(askEvery * pause, longestWait(now) / 2.0);
+        return asksAfter(now, 1 + (long) (shortest * (1 + random.nextDouble())));
+    }
+
+    /** The time that the call itself took is part of what passes between two calls. */
+    private long longestWait(long now) {
+        long took = Math.max(0, now - askedAt);
+        return Math.max(SHORTEST_LONGEST_WAIT, Math.min(LONGEST_WAIT - 1, BETWEEN_CALLS - took));
     }
 
     private long wave(long now, int windows) {
-        long window = Math.max(1, (long) (askEvery * WINDOW));
-        long begins = (now / window + 1 + random.nextInt(windows)) * window;
+        long window = Math.max(1, (long) Math.min(askEvery * WINDOW, LONGEST_WAIT * WINDOW_OF_WAIT));
+        long reached = Math.max(1, (long) (LONGEST_WAIT / (window * (1 + WAVE))));
+        long begins = (now / window + 1 + random.nextInt((int) Math.min(windows, reached))) * window;
         return begins - now + (long) (window * WAVE * random.nextDouble());
     }
 
