End client connections in order, begin no attempt late, and keep spans off the wall clock

- An attempt was written as its connection came up, whatever had happened meanwhile (RegionPool.connect, carry): the client had left (where the module does not cancel: what must run once, trials, sites without cancels), the worker drained, the window for repeats was over; and X-Remaining-Ms was what had been left when the connection was asked for.
Exchange.mayBegin is asked as the attempt is written, and the head is made then.
- A connection was used again at once: a second answer some milliseconds late was taken for the next job's.
It rests 20 ms now.
- TerminalConnection.received stopped reading behind a pipelined request, so that nobody saw its client leave.
Reading goes on, bounded by PipelinedRequests.
- A connection was closed by the loop's word while the thread that reads could still read a request (closeOnFlush): read, and closed with no answer.
The thread that reads decides now, at a mark behind all that is written, while it does not read; after a last answer our side alone is shut for 0.2 s, as a close over unread bytes resets the connection.
- An answer whose write failed was counted as being written for ever (MINA completes no future there), and the program did not end after SIGTERM.
- MINA's acceptor slept for a second after a failed accept (50 ms for EMFILE): 5 ms now.
- MINA's connect and write time limits run on System.currentTimeMillis: a step of an hour failed connections on their way.
They are out of reach; Dialer's limit runs on the loop's clock.
BatchConnection likewise.
Starts of workers are put on the loop's clock by StartTimes, whatever the wall clock does.
- After SIGTERM a request that came late could wait for a hung worker until after the platform's kill: Exchange.endBy.
- TableWatch kept its count of hasty calls after a failure, so that a later silent call was followed by the module's pause.
- SIGHUP that was ignored at the start stays ignored, as Java has it: the log says so.

--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -14,6 +14,7 @@
 import ryemast.core.Loop;
 import ryemast.core.Members;
 import ryemast.core.Note;
+import ryemast.core.StartTimes;
 import ryemast.membership.Membership;
 import ryemast.net.Addresses;
 import ryemast.net.Routes;
@@ -24,6 +25,7 @@
 import ryemast.net.terminal.TerminalServer;
 import ryemast.peers.Peers;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Puts the parts together, and ends the program in order. */
 final class Service {
@@ -38,6 +40,12 @@
     private static final int NAMES_FOR_EACH = 64;
     /** Of the least that the end takes: from then on clients that go on coming don't put it off. */
     private static final int PATIENCE = 2;
+    /** The platform kills no sooner than this after the longest deadline that began at SIGTERM. */
+    private static final long KILLED_AFTER = 700_000;
+    /** Where all deadlines are shorter, the platform takes this for the longest. */
+    private static final long SHORTEST_LONGEST_DEADLINE = 3_000_000;
+    /** What a last answer may take on its way, and what the platform's clock may be ahead of ours. */
+    private static final long TO_ANSWER = 300_000;
     /** Made in every start, that of the build's archive among them, which would not hold it otherwise. */
     private static final Runnable NOTHING = () -> { };
 
@@ -75,7 +83,8 @@
     Service(Config config) throws ConfigException {
         this.config = config;
         var settings = config.settings();
-        loop = new Loop(new Clock()::now, settings.resolution());
+        var clock = new Clock();
+        loop = new Loop(clock::now, settings.resolution());
         var tuning = config.tuning();
         var room = config.room();
         brain = new Brain(settings, config.seed());
@@ -85,7 +94,8 @@
                 + (tuning.batch() == null ? 0 : NAMES_FOR_EACH * tuning.batch().mostOut())
                 + (tuning.timetable() == null ? 0 : NAMES_FOR_EACH * Config.MOST_FIRES));
         transport = new Transport();
-        members = new Members(loop, exchange, new Membership(tuning.members()));
+        members = new Members(loop, exchange, new Membership(tuning.members()),
+                new StartTimes(clock::now, () -> System.currentTimeMillis() * Clock.MICROS_PER_MS));
         table = new TableWatch(loop, members, transport, config.discovery(), config.tableReader(),
                 tuning.table());
         var pool = new RegionPool(loop, exchange, transport, new Routes(members::address),
@@ -133,9 +143,9 @@
     /** Serves until a signal ends it, or only until it could let clients in. */
     void start(boolean onlyUntilReady) throws IOException {
         // Not a shutdown hook: the log's own hook would run beside it, and the last lines would be lost.
-        Signal.handle(new Signal("TERM"), signal -> loop.post(this::drain));
-        Signal.handle(new Signal("INT"), signal -> loop.post(this::drain));
-        Signal.handle(new Signal("HUP"), signal -> reload());
+        on("TERM", () -> loop.post(this::drain));
+        on("INT", () -> loop.post(this::drain));
+        boolean deafToReload = on("HUP", this::reload);
         if (config.tuning().recording() != null && !onlyUntilReady) {
             recording = Recording.begin(config, exchange, loop);
         }
@@ -146,8 +156,15 @@
         // for the classes on its way costs it less than the rehearsal would cost all who find nobody.
         loop.post(() -> {
             terminals.ready();
-            loop.at(loop.now() + FIRST_LINE, () -> Note.info(LOG, "{name} listens at {address}",
-                    "name", config.name(), "address", Addresses.text(address)));
+            loop.at(loop.now() + FIRST_LINE, () -> {
+                Note.info(LOG, "{name} listens at {address}",
+                        "name", config.name(), "address", Addresses.text(address));
+                if (deafToReload) {
+                    LOG.warning("SIGHUP was ignored when the program began, as under nohup, and has no effect:"
+                            + " a new configuration is followed after a restart only; start the program"
+                            + " without nohup");
+                }
+            });
         });
         if (batch != null && !onlyUntilReady) {
             batch.begin();
@@ -193,6 +210,11 @@
         System.exit(0);
     }
 
+    /** Whether the signal was ignored when the program began: Java leaves it so. */
+    private static boolean on(String name, Runnable step) {
+        return Signal.handle(new Signal(name), signal -> step.run()) == SignalHandler.SIG_IGN;
+    }
+
     /**
      * Follows the file as it is now; a signal's own thread reads it, as the loop must not wait for a disk.
      * Guards the program against a file that can't be used: it goes on as it was. One at a time, so that the
@@ -263,6 +285,7 @@
         if (drainingSince == 0) {
             Note.info(LOG, "ending: {open} transactions to answer", "open", exchange.open());
             drainingSince = loop.now();
+            exchange.endBy(drainingSince + longestDeadline() + KILLED_AFTER - TO_ANSWER);
             terminals.drain();
             if (batch != null) {
                 batch.drain();
@@ -277,6 +300,14 @@
         }
     }
 
+    private long longestDeadline() {
+        long longest = SHORTEST_LONGEST_DEADLINE;
+        for (var each : config.settings().classes()) {
+            longest = Math.max(longest, each.deadline());
+        }
+        return longest;
+    }
+
     private void endWhenQuiet() {
         long since = loop.now() - drainingSince;
         var ending = config.tuning().ending();
--- a/app/src/test/java/ryemast/it/EndIT.java
+++ b/app/src/test/java/ryemast/it/EndIT.java
@@ -95,6 +95,23 @@
         }
     }
 
+    /**
+     * The platform kills 0.7 s after the longest deadline, 3 s at least, that begins at SIGTERM; what comes
+     * late and waits for a worker that hangs is answered before that, though its client would wait for
+     * longer.
+     */
+    @Test
+    void aRequestThatComesLateAndHangsIsAnsweredBeforeTheKill() throws Exception {
+        try (var platform = Platform.ofShortDeadlines(); var client = platform.client()) {
+            platform.program().destroy();
+            long killedAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(3_700);
+            var txn = platform.job(client, "sticker", 5_000);
+            platform.holder(txn);
+            assertEquals("500", client.read().status());
+            assertTrue(System.nanoTime() < killedAt, "it would have been killed before");
+        }
+    }
+
     /** Guards newcomers at the limit on sockets: what they send along with their connection is answered. */
     @Test
     void atTheLimitNewcomersThatSendAtOnceAreAnswered() throws Exception {
--- /dev/null
+++ b/app/src/test/java/ryemast/it/FaultsIT.java
@@ -0,0 +1,79 @@
+package ryemast.it;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** System calls of the packaged program that fail for a moment, and a wall clock that is stepped under it. */
+@Timeout(60)
+class FaultsIT {
+
+    private static final int HOUR_S = 3_600;
+    /** The network library slept for a second after a failed accept. */
+    private static final long SOON_MS = 700;
+
+    private static void served(Platform platform, Wire client, String lane) throws Exception {
+        var txn = platform.job(client, lane, 5_000);
+        platform.done(txn, "result of " + txn);
+        var answer = client.read();
+        assertEquals("200", answer.status());
+        assertEquals("result of " + txn, answer.body());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {Faults.ECONNABORTED, Faults.EMFILE, Faults.ENFILE, Faults.ENOBUFS})
+    void aNewcomerIsAnsweredSoonThoughAcceptFailed(int errno) throws Exception {
+        try (var faults = new Faults(); var platform = Platform.with(faults)) {
+            faults.acceptFails(errno, 3);
+            long waited = platform.waitedMillis();
+            long began = System.nanoTime();
+            assertEquals("200", platform.health());
+            long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began)
+                    - (platform.waitedMillis() - waited);
+            assertEquals(0, faults.acceptFailuresLeft());
+            assertTrue(took < SOON_MS, took + " ms");
+        }
+    }
+
+    /** What never came to a worker has not run: it may go out again, also where it must run once. */
+    @ParameterizedTest
+    @ValueSource(ints = {Faults.EADDRNOTAVAIL, Faults.ENETUNREACH, Faults.ENOBUFS})
+    void aJobIsServedThoughTheFirstConnectionFailed(int errno) throws Exception {
+        try (var faults = new Faults(); var platform = Platform.with(faults);
+                var client = platform.client()) {
+            faults.connectFails(errno, 1);
+            served(platform, client, "sticker");
+            assertEquals(0, faults.connectFailuresLeft());
+        }
+    }
+
+    /** Jobs and the watch on the list go on as if nothing had been: no span is measured on the wall clock. */
+    @Test
+    void aWallClockThatIsSteppedChangesNothing() throws Exception {
+        try (var faults = new Faults(); var platform = Platform.with(faults);
+                var client = platform.client()) {
+            served(platform, client, "load");
+            long calls = platform.discovery.count("GET");
+            for (int seconds : new int[] {HOUR_S, -HOUR_S, 5, -5, 0}) {
+                // What must run once is never taken back, however long it waits for its start.
+                var open = platform.job(client, "sticker", 5_000);
+                var holder = platform.holder(open);
+                faults.wallIsAheadBy(seconds);
+                // The library looks once a second.
+                Thread.sleep(1_200);
+                assertEquals("200", platform.health());
+                platform.callBack(open, holder, "done", ",\"result\":\"late\"");
+                assertEquals("200", client.read().status());
+                served(platform, client, "sticker");
+            }
+            assertEquals(calls, platform.discovery.count("GET"), "the watch was opened anew");
+            assertTrue(platform.log.stream().noneMatch(line -> line.contains("table failed")),
+                    platform.log::toString);
+        }
+    }
+}
--- a/app/src/test/java/ryemast/it/Platform.java
+++ b/app/src/test/java/ryemast/it/Platform.java
@@ -10,6 +10,7 @@
 import java.net.SocketException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -40,6 +41,7 @@
     final Peer two = new Peer(Platform::take);
     final Peer discovery = new Peer(this::table);
     final Queue<String> log = new ConcurrentLinkedQueue<>();
+    private final Map<String, String> environment;
     private final Path folder = Files.createTempDirectory("ryemast-it");
     private final Path operatorFile;
     private final String config;
@@ -79,8 +81,25 @@
                 .replace("\"ask_every\":400000", "\"ask_every\":10000000"));
     }
 
+    /** One whose system calls and wall clock a test can make fail. */
+    static Platform with(Faults faults) throws Exception {
+        return new Platform("1000", 1024, "Ready Ready", null, SETTINGS, faults.environment());
+    }
+
+    /** One whose clients wait for a second at most, as far as the settings say. */
+    static Platform ofShortDeadlines() throws Exception {
+        return new Platform("1000", 1024, "Ready Ready", null,
+                SETTINGS.replace("\"deadline\":5000000", "\"deadline\":1000000"));
+    }
+
     private Platform(String maxOpen, int sockets, String firstStates, String operator, String settings)
             throws Exception {
+        this(maxOpen, sockets, firstStates, operator, settings, Map.of());
+    }
+
+    private Platform(String maxOpen, int sockets, String firstStates, String operator, String settings,
+            Map<String, String> environment) throws Exception {
+        this.environment = environment;
         states = firstStates;
         operatorFile = folder.resolve("operator.toml");
         if (operator != null) {
@@ -130,6 +149,7 @@
                 .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
         var command = run.substring("run = \"".length(), run.lastIndexOf('"'));
         var builder = new ProcessBuilder("/bin/sh", "-c", command);
+        builder.environment().putAll(environment);
         builder.environment().put("BALANCER_DISCOVERY", discovery.address());
         builder.environment().put("BALANCER_CONFIG",
                 Files.writeString(folder.resolve("config.json"), config).toString());
--- a/batch/src/main/java/ryemast/batch/BatchConnection.java
+++ b/batch/src/main/java/ryemast/batch/BatchConnection.java
@@ -29,6 +29,8 @@
     private final long beganAt;
     private Identity who;
     private long lastAt;
+    private long writtenBytes;
+    private long writtenSeenAt;
     private int underWay;
     private boolean suspended;
     private boolean closing;
@@ -39,6 +41,7 @@
         this.session = session;
         beganAt = server.loop.now();
         lastAt = beganAt;
+        writtenSeenAt = beganAt;
     }
 
     /** Null before it has said hello. */
@@ -220,13 +223,13 @@
             return;
         }
         long now = server.loop.now();
+        long writtenAt = writtenAt(now);
         var limits = server.limits;
         if (who == null && now - beganAt >= limits.helloLimit()) {
             end("it has not said hello in time");
         } else if (FrameCodec.insideFor(session) >= limits.frameLimit()) {
             end("its frame was not whole in time");
-        } else if (session.getScheduledWriteBytes() > 0
-                && System.currentTimeMillis() - session.getLastWriteTime() >= limits.frameLimit() / 1_000
+        } else if (session.getScheduledWriteBytes() > 0 && now - writtenAt >= limits.frameLimit()
                 && now - lastAt >= limits.frameLimit()) {
             end("it does not read what it is told");
         } else if (underWay == 0 && now - lastAt >= limits.idleLimit()) {
@@ -236,6 +239,18 @@
         }
     }
 
+    /**
+     * When it was last seen that bytes had left or that none had to: not as the session tells it, whose time
+     * is the wall clock's.
+     */
+    private long writtenAt(long now) {
+        if (session.getWrittenBytes() != writtenBytes || session.getScheduledWriteBytes() == 0) {
+            writtenBytes = session.getWrittenBytes();
+            writtenSeenAt = now;
+        }
+        return writtenSeenAt;
+    }
+
     private void end(String why) {
         if (why != null) {
             Note.info(LOG, "a submitter's connection is ended: {why}", "why", why);
--- a/consul/src/main/java/ryemast/consul/Agents.java
+++ b/consul/src/main/java/ryemast/consul/Agents.java
@@ -14,6 +14,7 @@
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import ryemast.core.Loop;
 import ryemast.net.Addresses;
+import ryemast.net.Dialer;
 import ryemast.net.Link;
 import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
@@ -67,6 +68,7 @@
     private final Loop loop;
     private final ConsulSettings.Reach reach;
     private final NioSocketConnector connector;
+    private final Dialer dialer;
     private final List<Deque<Connection>> idle = new ArrayList<>();
     private final Set<Connection> open = new HashSet<>();
     private String token = "";
@@ -76,7 +78,7 @@
         this.loop = loop;
         this.reach = reach;
         connector = transport.connector(HttpCodec.responses(reach.longestAnswer()), new LinkHandler(loop));
-        connector.setConnectTimeoutMillis(Math.max(1, reach.connectLimit() / 1000));
+        dialer = new Dialer(loop, connector, reach.connectLimit());
         if (reach.tls() != null) {
             TlsFilter.add(connector, reach.tls());
         }
@@ -212,9 +214,8 @@
             call = first;
             first.carrier = this;
             InetSocketAddress address = reach.agents().get(agent);
-            var future = connector.connect(address);
-            future.addListener(done -> loop.post(() -> {
-                session = LinkHandler.attach(future, this);
+            dialer.dial(address, this, up -> {
+                session = up;
                 if (session == null) {
                     lost("cannot connect");
                 } else if (gone) {
@@ -222,7 +223,7 @@
                 } else {
                     first.write(session);
                 }
-            }));
+            });
         }
 
         void carry(Call next) {
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -59,11 +58,14 @@
     private final Map<Long, Transaction> byNumber = new HashMap<>();
     /** Names of the transactions taken last, the oldest first. */
     private final Set<String> lastNames = new LinkedHashSet<>();
-    private final Set<String> listedWorkers = new HashSet<>();
+    /** Every worker that was ever listed, and what the list says of it now. */
+    private final Map<String, WorkerState> listedWorkers = new HashMap<>();
     private List<Event> gathered = new ArrayList<>();
     private final List<Action> actions = new ArrayList<>();
     private long lastNumber;
     private int open;
+    /** No request may wait for longer than until then, as the program is about to end. */
+    private long endBy = Long.MAX_VALUE;
 
     /**
      * @param maxOpen      how many transactions may be open; more are turned away before the module
@@ -100,6 +102,11 @@
         vitals = to;
     }
 
+    /** From now on each request that is taken in is answered by then, whatever its client would wait for. */
+    public void endBy(long time) {
+        endBy = time;
+    }
+
     /** How many transactions still wait for their answer. */
     public int open() {
         return open;
@@ -130,7 +137,12 @@
             terminal.refused(0);
             return null;
         }
-        var transaction = new Transaction(++lastNumber, submission, terminal);
+        var taken = submission.deadline() <= endBy ? submission : submission.withDeadline(endBy);
+        return taken(new Transaction(++lastNumber, taken, terminal));
+    }
+
+    private Transaction taken(Transaction transaction) {
+        var submission = transaction.submission;
         open++;
         byTxn.put(submission.txn(), transaction);
         lastNames.add(submission.txn());
@@ -159,6 +171,17 @@
         }
     }
 
+    /**
+     * Whether an attempt may still be written to its worker. A connection takes time to come up, and
+     * meanwhile the client may have left or been answered, the time of the attempt may have passed, or the
+     * worker may have begun to drain. Asked of the clock itself, as the turn's reading may be old by now.
+     */
+    public boolean mayBegin(RoutedTask task) {
+        return !task.ended() && !task.transaction.answered
+                && loop.clock() < Math.min(task.until, task.beginBy)
+                && listedWorkers.get(task.worker) == WorkerState.READY;
+    }
+
     /** The worker has taken the job. */
     public void accepted(RoutedTask task) {
         if (observer != null && !task.accepted()) {
@@ -247,7 +270,10 @@
 
     /** What the service table says; the module follows it before its next round. */
     public void listed(ListKind kind, List<WorkerInfo> workers) {
-        workers.forEach(worker -> listedWorkers.add(worker.id()));
+        if (kind == ListKind.COMPLETE || kind == ListKind.CACHED) {
+            listedWorkers.replaceAll((worker, state) -> WorkerState.GONE);
+        }
+        workers.forEach(worker -> listedWorkers.put(worker.id(), worker.state()));
         if (observer != null) {
             observer.listed(kind, workers, loop.now());
         }
@@ -256,7 +282,7 @@
 
     /** Nothing need be known of these workers any more: they have been gone for long. */
     void forgotten(List<String> workers) {
-        listedWorkers.removeAll(workers);
+        listedWorkers.keySet().removeAll(workers);
         gathered.add(new WorkerList(ListKind.FORGOTTEN, workers.stream()
                 .map(id -> new WorkerInfo(id, WorkerState.GONE, 0, 0, 0, 1, 0)).toList()));
     }
@@ -386,13 +412,14 @@
         }
         long deadline = transaction.submission.deadline();
         long until = send.timeOut() > 0 ? Math.min(deadline, loop.now() + send.timeOut()) : deadline;
-        var task = new RoutedTask(transaction, transaction.tasks.size(), send.worker(), until);
+        var task = new RoutedTask(transaction, transaction.tasks.size(), send.worker(), until,
+                send.beginBy());
         transaction.tasks.add(task);
         if (observer != null) {
             observer.sent(transaction.number, task.number, task.worker, until, loop.now());
         }
         boolean moot = transaction.answered || until <= loop.now() || task.number >= maxAttempts
-                || !listedWorkers.contains(send.worker());
+                || !listedWorkers.containsKey(send.worker());
         task.timeOut = moot ? () -> { } : loop.at(until, () -> abandon(task, Outcome.TIMED_OUT));
         if (moot) {
             conclude(task, Outcome.NOT_SENT, null);
--- a/core/src/main/java/ryemast/core/Members.java
+++ b/core/src/main/java/ryemast/core/Members.java
@@ -32,11 +32,18 @@
     private final Loop loop;
     private final Exchange exchange;
     private final Membership membership;
+    private final StartTimes startTimes;
     private long dueAt = Long.MAX_VALUE;
     private Runnable timer = () -> { };
 
+    /** For workers whose starts are told by the loop's own clock. */
     public Members(Loop loop, Exchange exchange, Membership membership) {
+        this(loop, exchange, membership, StartTimes.ofOneClock(loop));
+    }
+
+    public Members(Loop loop, Exchange exchange, Membership membership, StartTimes startTimes) {
         this.loop = loop;
+        this.startTimes = startTimes;
         this.exchange = exchange;
         this.membership = membership;
         membership.authority(DISCOVERY);
@@ -45,7 +52,7 @@
     /** The platform's discovery has told of workers; {@code kind}: how. */
     public void discovered(ListKind kind, long version, List<Sighting> sightings) {
         boolean complete = kind != ListKind.CHANGES;
-        membership.observe(loop.now(), new Listing(DISCOVERY, version, complete, 0, sightings));
+        membership.observe(loop.now(), new Listing(DISCOVERY, version, complete, 0, onLoop(sightings)));
         var change = membership.settle(loop.now());
         if (complete) {
             // Also those that have not changed: the module takes whoever a whole list leaves out to be gone.
@@ -65,7 +72,7 @@
 
     /** Another source has said something. */
     public void observe(Listing listing) {
-        membership.observe(loop.now(), listing);
+        membership.observe(loop.now(), listing.with(onLoop(listing.sightings())));
         settle();
     }
 
@@ -122,6 +129,12 @@
                 .mapToInt(SourceView::withheld).sum();
     }
 
+    private List<Sighting> onLoop(List<Sighting> sightings) {
+        startTimes.read();
+        return sightings.stream()
+                .map(each -> each.startedAt(startTimes.onLoop(each.id(), each.startedAt()))).toList();
+    }
+
     private void settle() {
         var change = membership.settle(loop.now());
         var infos = infos(change);
@@ -138,6 +151,7 @@
     private void finish(Change change) {
         if (!change.forgotten().isEmpty()) {
             exchange.forgotten(new ArrayList<>(change.forgotten()));
+            startTimes.forget(change.forgotten());
         }
         change.news().forEach(LOG::info);
         long next = membership.nextDue(loop.now());
--- a/core/src/main/java/ryemast/core/RoutedTask.java
+++ b/core/src/main/java/ryemast/core/RoutedTask.java
@@ -9,6 +9,8 @@
     final int number;
     final String worker;
     final long until;
+    /** Until when it may be written to the worker. */
+    final long beginBy;
     Runnable timeOut;
     private boolean accepted;
     private Outcome outcome;
@@ -17,11 +19,12 @@
     CallBack.State toldEnd;
     boolean toldOfStart;
 
-    RoutedTask(Transaction transaction, int number, String worker, long until) {
+    RoutedTask(Transaction transaction, int number, String worker, long until, long beginBy) {
         this.transaction = transaction;
         this.number = number;
         this.worker = worker;
         this.until = until;
+        this.beginBy = beginBy;
     }
 
     public Submission submission() {
--- a/core/src/main/java/ryemast/core/Submission.java
+++ b/core/src/main/java/ryemast/core/Submission.java
@@ -9,4 +9,9 @@
  */
 public record Submission(String txn, int jobClass, int tenant, double slots, double memory, long costHint,
         long deadline, String target, byte[] body) {
+
+    /** The same with another deadline. */
+    Submission withDeadline(long other) {
+        return new Submission(txn, jobClass, tenant, slots, memory, costHint, other, target, body);
+    }
 }
--- a/core/src/test/java/ryemast/core/ExchangeTest.java
+++ b/core/src/test/java/ryemast/core/ExchangeTest.java
@@ -191,6 +191,41 @@
         assertEquals(List.of(new AttemptEnded(1, 0, "w1", Outcome.TIMED_OUT, false, null)), ends());
     }
 
+    /**
+     * Guards a request against the platform's kill: it came late in the program's end and waits for a hung
+     * worker.
+     */
+    @Test
+    void nothingThatIsTakenInLateWaitsForLongerThanTheProgramLasts() {
+        exchange.endBy(clock + SECOND / 2);
+        submit("a");
+        var request = (Request) events.get(0);
+        assertEquals(SECOND / 2, request.timeLeft());
+        clock += SECOND / 2 + 30_000;
+        turn();
+        turn();
+        assertEquals(List.of("a failed"), answers);
+    }
+
+    @Test
+    void anAttemptMayBeginOnlyWhileSomebodyWaitsForItAndItsWorkerIsReady() {
+        var left = submit("a", new Send(1, "w1", 0, clock + SECOND / 2), new Send(1, "w2", 0));
+        var first = started.get(0);
+        var second = started.get(1);
+        assertTrue(exchange.mayBegin(first));
+        exchange.listed(ListKind.CHANGES, List.of(new WorkerInfo("w2", WorkerState.DRAINING, 0, 0, 0, 1, 0)));
+        assertFalse(exchange.mayBegin(second), "it drains");
+        exchange.listed(ListKind.COMPLETE, List.of(worker("w1"), worker("w2")));
+        assertTrue(exchange.mayBegin(second));
+        exchange.listed(ListKind.COMPLETE, List.of(worker("w1")));
+        assertFalse(exchange.mayBegin(second), "it is gone");
+        clock += SECOND / 2;
+        assertFalse(exchange.mayBegin(first), "its last moment is over, though the turn does not know");
+        clock -= SECOND / 2;
+        exchange.left(left);
+        assertFalse(exchange.mayBegin(first), "the client has left");
+    }
+
     @Test
     void whatCanNotBeSentAnyMoreIsToldAsNotSent() {
         submit("a", new Send(1, "w1", 0), new Send(1, "w2", 0), new Send(1, "w1", 0), new Send(1, "w2", 0));
--- a/net/src/main/java/ryemast/net/LinkHandler.java
+++ b/net/src/main/java/ryemast/net/LinkHandler.java
@@ -36,6 +36,11 @@
         return session.isConnected() ? session : null;
     }
 
+    /** What the loop keeps for a connection; null before it has been attached. */
+    protected static Link link(IoSession session) {
+        return (Link) session.getAttribute(LINK);
+    }
+
     @Override
     public void messageReceived(IoSession session, Object message) {
         long at = loop.clock();
--- a/net/src/main/java/ryemast/net/Transport.java
+++ b/net/src/main/java/ryemast/net/Transport.java
@@ -15,6 +15,12 @@
 
     private static final int READ_BUFFER = 2048;
     private static final int MAX_READ_BUFFER = 16 * 1024;
+    /**
+     * MINA measures its own time limits on the wall clock, which may be stepped by an hour: every one of them
+     * is put out of reach, and those that are needed run on the loop's clock ({@link Dialer}, and the sweeps
+     * of whoever owns connections).
+     */
+    private static final int NEVER = Integer.MAX_VALUE;
 
     private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
 
@@ -27,12 +33,14 @@
         var connector = new NioSocketConnector(processor);
         setUp(connector.getSessionConfig(), connector.getFilterChain(), codec);
         connector.setHandler(handler);
+        connector.setConnectTimeoutMillis(NEVER);
         return connector;
     }
 
     public static void setUp(SocketSessionConfig config, DefaultIoFilterChainBuilder chain, HttpCodec codec) {
         config.setTcpNoDelay(true);
         config.setKeepAlive(true);
+        config.setWriteTimeout(NEVER);
         config.setReadBufferSize(READ_BUFFER);
         config.setMaxReadBufferSize(MAX_READ_BUFFER);
         chain.addLast("http", new ProtocolCodecFilter(codec));
--- a/net/src/main/java/ryemast/net/http/HttpCodec.java
+++ b/net/src/main/java/ryemast/net/http/HttpCodec.java
@@ -22,6 +22,10 @@
 
     public static final Object END = new Object();
 
+    /** Sends nothing, and is told as sent once all that was written before it has left. */
+    public static final class Mark {
+    }
+
     /** The most that the platform lets a body hold. */
     private static final int MAX_BODY = 64 * 1024;
 
@@ -213,7 +217,9 @@
     private static final class Encoder extends ProtocolEncoderAdapter {
         @Override
         public void encode(IoSession session, Object message, ProtocolEncoderOutput out) {
-            out.write(IoBuffer.wrap(bytes((HttpMessage) message)));
+            if (message instanceof HttpMessage whole) {
+                out.write(IoBuffer.wrap(bytes(whole)));
+            }
         }
     }
 
--- a/net/src/main/java/ryemast/net/region/Call.java
+++ b/net/src/main/java/ryemast/net/region/Call.java
@@ -1,7 +1,9 @@
 package ryemast.net.region;
 
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 import org.apache.mina.core.future.WriteFuture;
+import pipitladder.Dispatcher.Outcome;
 import ryemast.core.Exchange;
 import ryemast.core.Note;
 import ryemast.core.RoutedTask;
@@ -14,19 +16,43 @@
     private static final Logger LOG = Logger.getLogger(Call.class.getName());
     private static final int ERROR = 500;
 
-    final HttpMessage message;
+    private final Supplier<HttpMessage> message;
     private final Exchange exchange;
     private final RoutedTask task;
     private final long startedAt;
     private WriteFuture writing;
 
-    Call(Exchange exchange, RoutedTask task, HttpMessage message, long startedAt) {
+    /** {@code message}: made once, when it is written. */
+    Call(Exchange exchange, RoutedTask task, Supplier<HttpMessage> message, long startedAt) {
         this.exchange = exchange;
         this.task = task;
         this.message = message;
         this.startedAt = startedAt;
     }
 
+    /** Whether it may still be written; see {@link Exchange#mayBegin}. */
+    boolean mayBegin() {
+        return task == null || exchange.mayBegin(task);
+    }
+
+    /** It must not be written any more: the attempt never reached the worker. */
+    void neverBegan() {
+        exchange.ended(task, Outcome.NOT_SENT);
+    }
+
+    HttpMessage message() {
+        return message.get();
+    }
+
+    /** The worker and the name of the job that it is about; null for a cancel. */
+    String worker() {
+        return task == null ? null : task.worker();
+    }
+
+    String txn() {
+        return task == null ? null : task.submission().txn();
+    }
+
     /** Whether the task's answer is still to come on the connection that carries this. */
     boolean carries(RoutedTask other) {
         return task == other;
--- a/net/src/main/java/ryemast/net/region/RegionPool.java
+++ b/net/src/main/java/ryemast/net/region/RegionPool.java
@@ -14,7 +14,6 @@
 import java.util.function.Function;
 import java.util.logging.Logger;
 import org.apache.mina.core.session.IoSession;
-import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
@@ -22,6 +21,7 @@
 import ryemast.core.Region;
 import ryemast.core.RoutedTask;
 import ryemast.net.Addresses;
+import ryemast.net.Dialer;
 import ryemast.net.Link;
 import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
@@ -39,12 +39,18 @@
     /** How often connections that have rested for too long are looked for, in microseconds. */
     public static final long SWEEP = 250_000;
 
+    /**
+     * How long a connection rests before it carries the next call, in microseconds: a worker, or what stands
+     * between, may send a second answer some milliseconds after the first, which must not be taken for the
+     * next call's.
+     */
+    public static final long LEAST_REST = 20_000;
+
     private final Loop loop;
     private final Exchange exchange;
     private final Function<String, InetSocketAddress> addresses;
-    private final NioSocketConnector connector;
+    private final Dialer dialer;
     private final RegionTuning tuning;
-    private final long connectLimit;
     private final RestLimit restLimit;
     private final int most;
     /** Idle connections by address; the one used last is taken first, so that spare ones can age. */
@@ -64,20 +70,26 @@
         this.loop = loop;
         this.exchange = exchange;
         this.addresses = addresses;
-        this.connectLimit = connectLimit;
         this.restLimit = new RestLimit(connIdle, tuning);
         this.most = most;
         this.tuning = tuning;
-        connector = transport.connector(HttpCodec.responses(), new LinkHandler(loop));
+        dialer = new Dialer(loop, transport.connector(HttpCodec.responses(), new LinkHandler(loop)),
+                connectLimit);
     }
 
     @Override
     public void start(RoutedTask task) {
+        var address = addresses.apply(task.worker());
+        task.carrier(call(address, new Call(exchange, task, () -> attempt(task, address), loop.now())));
+    }
+
+    /** Made as it is written: a connection may have taken long to come up, and the time left is told. */
+    private HttpMessage attempt(RoutedTask task, InetSocketAddress address) {
         var job = task.submission();
-        long left = Math.max(1, (task.until() - loop.now()) / Clock.MICROS_PER_MS);
+        long left = Math.max(1, (task.until() - loop.clock()) / Clock.MICROS_PER_MS);
         var head = HttpHead.request("POST", job.target()).with("X-Txn", job.txn())
-                .with("X-Remaining-Ms", Long.toString(left));
-        task.carrier(call(addresses.apply(task.worker()), task, new HttpMessage(head, job.body())));
+                .with("X-Remaining-Ms", Long.toString(left)).with("Host", Addresses.text(address));
+        return new HttpMessage(head, job.body());
     }
 
     /** Before the worker has answered, the connection's end gives the attempt up; after, a message does. */
@@ -90,8 +102,10 @@
         if (carrier.call != null && carrier.call.carries(task)) {
             carrier.close();
         } else {
-            var head = HttpHead.request("DELETE", "/jobs/" + encoded(task.submission().txn()));
-            call(carrier.address, null, new HttpMessage(head, HttpMessage.EMPTY));
+            var head = HttpHead.request("DELETE", "/jobs/" + encoded(task.submission().txn()))
+                    .with("Host", Addresses.text(carrier.address));
+            var message = new HttpMessage(head, HttpMessage.EMPTY);
+            call(carrier.address, new Call(exchange, null, () -> message, loop.now()));
         }
     }
 
@@ -107,22 +121,15 @@
     }
 
     /** The connection that the call is on, or null if there was none to be had. */
-    private RegionConnection call(InetSocketAddress address, RoutedTask task, HttpMessage message) {
-        message.head().with("Host", Addresses.text(address));
-        var call = new Call(exchange, task, message, loop.now());
-        var pooled = idle.get(address);
-        if (pooled != null && rested(pooled.peekLast()) <= restLimit.limit()) {
-            var connection = pooled.pollLast();
-            if (pooled.isEmpty()) {
-                idle.remove(address);
-            }
-            connection.carry(call);
-            return connection;
+    private RegionConnection call(InetSocketAddress address, Call call) {
+        var kept = kept(address);
+        if (kept != null) {
+            kept.carry(call);
+            return kept;
         }
         if (open.size() >= most && !dropOldestIdle()) {
             Note.warning(LOG, "no socket left for a call to {address}", "address", Addresses.text(address),
-                    "worker", task == null ? null : task.worker(),
-                    "txn", task == null ? null : task.submission().txn());
+                    "worker", call.worker(), "txn", call.txn());
             call.broke();
             return null;
         }
@@ -136,6 +143,31 @@
         return connection;
     }
 
+    /**
+     * The connection that was used last of those that may be used again, taken off; null if there is none.
+     */
+    private RegionConnection kept(InetSocketAddress address) {
+        var pooled = idle.get(address);
+        if (pooled == null) {
+            return null;
+        }
+        for (var each = pooled.descendingIterator(); each.hasNext();) {
+            var connection = each.next();
+            long rested = rested(connection);
+            if (rested > restLimit.limit()) {
+                return null;
+            }
+            if (rested >= LEAST_REST) {
+                each.remove();
+                if (pooled.isEmpty()) {
+                    idle.remove(address);
+                }
+                return connection;
+            }
+        }
+        return null;
+    }
+
     private long rested(RegionConnection connection) {
         return loop.now() - connection.idleSince;
     }
@@ -166,6 +198,8 @@
         private final InetSocketAddress address;
         private IoSession session;
         private Call call;
+        /** When the call was written, by the clock itself: what was read before is no answer to it. */
+        private long writtenAt;
         private long idleSince;
         /** For how long it had rested before the call that it carries; negative for its first one. */
         private long restBefore = -1;
@@ -177,14 +211,8 @@
 
         void connect(Call first) {
             call = first;
-            var future = connector.connect(address);
-            var endOfLimit = loop.at(loop.now() + connectLimit, () -> {
-                future.cancel();
-                close();
-            });
-            future.addListener(done -> loop.post(() -> {
-                endOfLimit.run();
-                session = LinkHandler.attach(future, this);
+            dialer.dial(address, this, up -> {
+                session = up;
                 if (session == null) {
                     close();
                 } else if (closed) {
@@ -192,13 +220,25 @@
                 } else {
                     carry(call);
                 }
-            }));
+            });
         }
 
         void carry(Call next) {
             call = next;
             restBefore = idleSince == 0 ? -1 : rested(this);
-            next.goesOut(session.write(next.message));
+            if (next.mayBegin()) {
+                writtenAt = loop.clock();
+                next.goesOut(session.write(next.message()));
+            } else {
+                rest();
+                next.neverBegan();
+            }
+        }
+
+        private void rest() {
+            call = null;
+            idleSince = loop.now();
+            idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addLast(this);
         }
 
         /** The peer, or the way there, has ended it. */
@@ -216,17 +256,16 @@
             if (closed) {
                 return;
             }
-            if (call == null || !(message instanceof HttpMessage answer)) {
+            if (call == null || at < writtenAt || !(message instanceof HttpMessage answer)) {
                 close();
                 return;
             }
             var done = call;
-            call = null;
             if (answer.head().closes()) {
+                call = null;
                 close();
             } else {
-                idleSince = loop.now();
-                idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addLast(this);
+                rest();
             }
             done.answered(answer.head());
         }
--- a/net/src/main/java/ryemast/net/servicetable/TableWatch.java
+++ b/net/src/main/java/ryemast/net/servicetable/TableWatch.java
@@ -4,13 +4,14 @@
 import java.net.InetSocketAddress;
 import java.util.logging.Logger;
 import org.apache.mina.core.session.IoSession;
-import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import pipitladder.Dispatcher.ListKind;
+import ryemast.core.Clock;
 import ryemast.core.Loop;
 import ryemast.core.Members;
 import ryemast.core.Note;
 import ryemast.core.ServiceTable;
 import ryemast.net.Addresses;
+import ryemast.net.Dialer;
 import ryemast.net.Link;
 import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
@@ -39,7 +40,7 @@
     private final Members members;
     private final TableReader reader;
     private final TableTuning tuning;
-    private final NioSocketConnector connector;
+    private final Dialer dialer;
     private InetSocketAddress discovery;
     private long version;
     private Watch watch;
@@ -53,8 +54,8 @@
         this.discovery = discovery;
         this.reader = reader;
         this.tuning = tuning;
-        connector = transport.connector(HttpCodec.stream(), new LinkHandler(loop));
-        connector.setConnectTimeoutMillis(tuning.connectLimitMs());
+        dialer = new Dialer(loop, transport.connector(HttpCodec.stream(), new LinkHandler(loop)),
+                tuning.connectLimitMs() * Clock.MICROS_PER_MS);
     }
 
     /**
@@ -117,9 +118,8 @@
 
         void open(long patience) {
             await(patience);
-            var future = connector.connect(discovery);
-            future.addListener(done -> loop.post(() -> {
-                session = LinkHandler.attach(future, this);
+            dialer.dial(discovery, this, up -> {
+                session = up;
                 if (session == null) {
                     fail("cannot connect");
                     return;
@@ -131,7 +131,7 @@
                 var head = HttpHead.request("GET", "/catalog/members?watch=1&from=" + version)
                         .with("Host", Addresses.text(discovery)).with("Accept", "application/json");
                 session.write(new HttpMessage(head, HttpMessage.EMPTY));
-            }));
+            });
         }
 
         void close() {
@@ -166,6 +166,8 @@
                 return;
             }
             if (hasty == MOST_HASTY) {
+                // The module's pause follows: after it there is time for hasty calls again.
+                hasty = 0;
                 fail("silence");
                 return;
             }
--- a/net/src/main/java/ryemast/net/terminal/TerminalConnection.java
+++ b/net/src/main/java/ryemast/net/terminal/TerminalConnection.java
@@ -2,12 +2,11 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Locale;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.SocketAccess;
 import ryemast.core.Terminal;
 import ryemast.core.Transaction;
 import ryemast.net.Link;
@@ -16,19 +15,48 @@
 import ryemast.net.http.HttpHead;
 import ryemast.net.http.HttpMessage;
 
-/** One connection of a client, or of a worker that calls back: its requests are taken one by one. */
+/**
+ * One connection of a client, or of a worker that calls back: its requests are taken one by one.
+ *
+ * <p>We end a connection only where nothing was read from it that is owed an answer. Only the thread that
+ * reads can know that, and only while it does not read: so an end is first a mark behind all that is written,
+ * and where that thread comes to the mark it reads no further, looks, and either ends the connection or lets
+ * it stay. After a last answer our side alone is shut, for a moment: to close the other side over bytes that
+ * have come would reset the connection, and the answer could be lost on its way.
+ */
 final class TerminalConnection implements Terminal, Link {
 
     private static final Logger LOG = Logger.getLogger(TerminalConnection.class.getName());
     private static final double MICROS_PER_S = 1e6;
+    /** How long the client's side stays open after a last answer, in microseconds: longer than ways are. */
+    static final long ANSWER_TRAVELS = 200_000;
+    /** How long a client may take to read some of what is written to it, in microseconds. */
+    private static final long LONGEST_WRITE = 60_000_000;
+
+    private enum Phase {
+        OPEN,
+        /** A mark is on its way behind which nothing is written. */
+        ENDING,
+        /** The request was at fault: what follows is dropped unread. */
+        TURNED_AWAY,
+        GONE
+    }
 
     private final TerminalServer server;
     private final IoSession session;
-    private final Deque<Arrival> waiting = new ArrayDeque<>();
+    private final PipelinedRequests waiting;
+    private Phase phase = Phase.OPEN;
     private Transaction transaction;
     private boolean busy;
     private boolean asksToClose;
-    private boolean closing;
+    private long endingSince;
+    /** Answers that have not left yet, and when that was last none or one did. */
+    private int unwritten;
+    private long wroteAt;
+    /** Set on the loop before the mark is written, read where it is reached. */
+    private volatile HttpCodec.Mark endMark;
+    private volatile long endsAfter;
+    private volatile boolean hasLastAnswer;
     /** Nothing whole has come yet. */
     private boolean silent = true;
     /** Neither a job nor a call-back has come yet. */
@@ -37,13 +65,10 @@
     /** How many requests the thread that reads has handed over. */
     private long handedOver;
 
-    /** What came, and when. */
-    private record Arrival(Object message, long at) {
-    }
-
     TerminalConnection(TerminalServer server, IoSession session) {
         this.server = server;
         this.session = session;
+        waiting = new PipelinedRequests(server.pipelined);
         restingSince = server.loop.now();
     }
 
@@ -57,32 +82,39 @@
      */
     boolean isAsked(long longest) {
         long inside = HttpCodec.insideFor(session);
-        return !closing && (inside > 0 && inside < longest || HttpCodec.whole(session) > handedOver);
+        boolean inTime = inside > 0 && inside < longest;
+        return phase == Phase.OPEN && (inTime || HttpCodec.whole(session) > handedOver);
     }
 
     @Override
     public void received(Object message, long at) {
         handedOver++;
-        if (closing) {
+        if (phase == Phase.TURNED_AWAY || phase == Phase.GONE) {
             return;
         }
-        if (busy || !waiting.isEmpty()) {
-            // Bytes behind a request are kept; no more are read until their turn has come.
-            waiting.add(new Arrival(message, at));
-            session.suspendRead();
-            return;
+        // What crosses the mark of an end lets the connection stay; it is taken then.
+        if (!busy && waiting.isEmpty() && phase == Phase.OPEN) {
+            begin(message, at);
+        } else if (!waiting.add(message, at)) {
+            giveUp();
+        }
+    }
+
+    /** The client sends requests without end and reads no answers: the one that is served ends, too. */
+    private void giveUp() {
+        if (transaction != null) {
+            server.exchange.left(transaction);
+            transaction = null;
         }
-        begin(message, at);
+        busy = false;
+        turnAway(400, "too many requests at once");
     }
 
     /** The turn of the first that waits; nothing does any more if the connection has ended meanwhile. */
     private void next() {
-        var next = waiting.poll();
+        var next = phase == Phase.OPEN && !busy ? waiting.next() : null;
         if (next != null) {
-            if (waiting.isEmpty()) {
-                session.resumeRead();
-            }
-            begin(next.message, next.at);
+            begin(next.message(), next.at());
         }
     }
 
@@ -105,6 +137,10 @@
             turnAway(e.status(), e.getMessage());
             return;
         }
+        if (message == PipelinedRequests.NOT_KEPT) {
+            refused(0);
+            return;
+        }
         var request = (HttpMessage) message;
         asksToClose = request.head().closes();
         var path = request.head().path();
@@ -195,15 +231,22 @@
         busy = false;
         transaction = null;
         // A request that came in behind this one has been taken: it is answered before the end.
-        boolean last = (server.isDraining() || asksToClose) && waiting.isEmpty();
+        boolean last = (server.isDraining() || asksToClose) && waiting.isEmpty()
+                && !isAsked(server.tuning.longestRequest());
         if (last) {
             message.head().with("Connection", "close");
-            closing = true;
         }
         write(message);
         if (last) {
-            session.closeOnFlush();
-        } else if (waiting.isEmpty()) {
+            end(true);
+        } else {
+            goOn();
+        }
+    }
+
+    /** To the next request, or to a rest. */
+    private void goOn() {
+        if (waiting.isEmpty()) {
             restingSince = server.loop.now();
             server.rests(this, stranger);
         } else {
@@ -212,8 +255,19 @@
     }
 
     private void write(HttpMessage message) {
+        wroteAt = unwritten == 0 ? server.loop.now() : wroteAt;
+        unwritten++;
         server.wrote(1);
-        session.write(message).addListener(future -> server.loop.post(() -> server.wrote(-1)));
+        session.write(message).addListener(future -> server.loop.post(this::written));
+    }
+
+    /** Not to be counted where the connection is gone: what had not left by then never will. */
+    private void written() {
+        if (phase != Phase.GONE) {
+            unwritten--;
+            wroteAt = server.loop.now();
+            server.wrote(-1);
+        }
     }
 
     /**
@@ -223,7 +277,7 @@
     private void turnAway(int status, String why) {
         var answer = plain(status, why);
         answer.head().with("Connection", "close");
-        closing = true;
+        phase = Phase.TURNED_AWAY;
         waiting.clear();
         HttpCodec.ignoreRest(session);
         write(answer);
@@ -232,11 +286,21 @@
         server.loop.at(server.loop.now() + server.tuning.linger(), session::closeNow);
     }
 
+    /** Guards the sockets against clients that do not read what is written to them. */
+    void checkWriting() {
+        long now = server.loop.now();
+        if (phase == Phase.ENDING && now - endingSince > server.tuning.longestRequest()
+                || unwritten > 0 && now - wroteAt > LONGEST_WRITE) {
+            session.closeNow();
+        }
+    }
+
     /** Guards the sockets against clients that say nothing, or never end; for one between two requests. */
     void checkPace() {
         long inside = HttpCodec.insideFor(session);
         long rested = server.loop.now() - restingSince;
-        if (closing || (silent ? rested : Math.min(rested, inside)) < server.tuning.longestRequest()) {
+        long slow = silent ? rested : Math.min(rested, inside);
+        if (phase != Phase.OPEN || slow < server.tuning.longestRequest()) {
             return;
         }
         if (inside > 0) {
@@ -246,18 +310,70 @@
         }
     }
 
-    /** Ends a connection that is between two requests. */
+    /** Ends a connection that is between two requests, unless one comes first. */
     void close() {
-        closing = true;
+        if (phase == Phase.OPEN) {
+            end(false);
+        } else {
+            server.leaves(this);
+            session.closeOnFlush();
+        }
+    }
+
+    private void end(boolean lastAnswer) {
+        phase = Phase.ENDING;
+        endingSince = server.loop.now();
         server.leaves(this);
-        session.closeOnFlush();
+        endsAfter = handedOver;
+        hasLastAnswer = lastAnswer;
+        endMark = new HttpCodec.Mark();
+        session.write(endMark);
+    }
+
+    /**
+     * Something that was written has left; told on the thread that reads. At the mark nothing more is read,
+     * so that what is found here stays true, and a request that comes later comes to nobody.
+     */
+    void left(Object message) {
+        if (message != endMark) {
+            return;
+        }
+        session.suspendRead();
+        if (HttpCodec.insideFor(session) > 0 || HttpCodec.whole(session) > endsAfter) {
+            session.resumeRead();
+            server.loop.post(this::stay);
+        } else if (hasLastAnswer) {
+            shutOutput();
+        } else {
+            session.closeNow();
+        }
+    }
+
+    private void shutOutput() {
+        try {
+            SocketAccess.shutOutput(session);
+            server.loop.post(() -> server.loop.at(server.loop.now() + ANSWER_TRAVELS, session::closeNow));
+        } catch (IOException e) {
+            session.closeNow();
+        }
+    }
+
+    /** A request has crossed the end: it is served, and the connection may be ended after it. */
+    private void stay() {
+        if (phase == Phase.ENDING) {
+            phase = Phase.OPEN;
+            server.stays(this);
+            goOn();
+        }
     }
 
     /** The connection is gone: a client that still waited has left. */
     @Override
     public void ended() {
         server.ended(this);
-        closing = true;
+        server.wrote(-unwritten);
+        unwritten = 0;
+        phase = Phase.GONE;
         waiting.clear();
         if (transaction != null) {
             server.exchange.left(transaction);
--- a/net/src/main/java/ryemast/net/terminal/TerminalServer.java
+++ b/net/src/main/java/ryemast/net/terminal/TerminalServer.java
@@ -2,19 +2,24 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.logging.Logger;
 import java.util.stream.Stream;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.SocketAccess;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
+import ryemast.core.Note;
 import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
 import ryemast.net.http.HttpCodec;
@@ -26,6 +31,12 @@
     public static final long SWEEP = 250_000;
     /** How long the acceptor waits before it looks again for room. */
     public static final long FULL_PAUSE_MS = 1;
+    /**
+     * How long it waits after the system could not accept, as for want of descriptors or buffers: who waits
+     * meanwhile waits in the kernel's queue, and MINA would wait for a second.
+     */
+    private static final long FAILED_PAUSE_MS = 5;
+    private static final Logger LOG = Logger.getLogger(TerminalServer.class.getName());
     /**
      * For so long a request that is read in part keeps its connection where room is short, in microseconds;
      * a crowd that never ends its requests must not keep call-backs out for longer.
@@ -36,9 +47,11 @@
     final Exchange exchange;
     final JobReader jobs;
     final TerminalTuning tuning;
+    final PipelinedRequests.Budget pipelined = new PipelinedRequests.Budget();
     private final NioSocketAcceptor acceptor;
     private final int most;
-    private final AtomicInteger accepted = new AtomicInteger();
+    /** Those that were accepted and whose end was not told yet; changed by the threads that see them. */
+    private final Set<IoSession> accepted = ConcurrentHashMap.newKeySet();
     /** Those between two requests on which no job or call-back has come yet, the longest at rest first. */
     private final Set<TerminalConnection> strangers = new LinkedHashSet<>();
     /** Those between two requests on which one has come, in the same order. */
@@ -98,7 +111,7 @@
 
     /** Whether nothing is half taken or half answered, and nobody has come who is not known here yet. */
     public boolean isQuiet() {
-        return writing == 0 && open.isEmpty() && accepted.get() == 0;
+        return writing == 0 && open.isEmpty() && accepted.isEmpty();
     }
 
     /** Ends the connections that have been between two requests for so long, in microseconds. */
@@ -144,6 +157,10 @@
         leaving.add(connection);
     }
 
+    void stays(TerminalConnection connection) {
+        leaving.remove(connection);
+    }
+
     void ended(TerminalConnection connection) {
         works(connection);
         open.remove(connection);
@@ -157,6 +174,8 @@
     private void sweep() {
         closeResting(tuning.idleLimit());
         betweenRequests().forEach(TerminalConnection::checkPace);
+        open.forEach(TerminalConnection::checkWriting);
+        accepted.removeIf(session -> !SocketAccess.isOpen(session));
         loop.at(loop.now() + SWEEP, this::sweep);
     }
 
@@ -190,8 +209,6 @@
         /** Takes in whoever waits in the kernel's queue: closing the listener would reset them unanswered. */
         @Override
         protected void close(ServerSocketChannel handle) throws Exception {
-            wakeup();
-            select();
             for (var next = accept(processor, handle); next != null; next = accept(processor, handle)) {
                 initSession(next, null, null);
                 processor.add(next);
@@ -202,17 +219,33 @@
         @Override
         protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle)
                 throws Exception {
-            if (accepted.get() >= most) {
+            if (accepted.size() >= most) {
                 loop.post(TerminalServer.this::makeRoom);
                 Thread.sleep(FULL_PAUSE_MS);
                 return null;
             }
-            var session = super.accept(processor, handle);
-            if (session != null) {
-                accepted.incrementAndGet();
+            var socket = next(handle);
+            if (socket == null) {
+                return null;
             }
+            var session = SocketAccess.session(this, processor, socket);
+            accepted.add(session);
             return session;
         }
+
+        /** Null if nobody waits, or the system can't let anybody in just now. */
+        private SocketChannel next(ServerSocketChannel handle) throws InterruptedException, IOException {
+            try {
+                return handle.accept();
+            } catch (ClosedChannelException e) {
+                throw e;
+            } catch (IOException e) {
+                Note.warning(LOG, "a connection could not be accepted, and is tried again: {why}", "why",
+                        e.getMessage());
+                Thread.sleep(FAILED_PAUSE_MS);
+                return null;
+            }
+        }
     }
 
     private final class Handler extends LinkHandler {
@@ -231,9 +264,16 @@
             });
         }
 
+        @Override
+        public void messageSent(IoSession session, Object message) {
+            if (link(session) instanceof TerminalConnection connection) {
+                connection.left(message);
+            }
+        }
+
         @Override
         public void sessionClosed(IoSession session) {
-            accepted.decrementAndGet();
+            accepted.remove(session);
             super.sessionClosed(session);
         }
     }
