Give the network module the field's names

Packages client, worker and discovery in place of terminal, region and servicetable; ClientServer, ClientConnection, WorkerConnectionPool, WorkerTuning, DiscoveryWatch, DiscoveryTuning, ListReader, ListUpdate. Nothing but names, their imports and the pages that name them; keys of the operator file and words of the log for operators stay, but for the class that a line names.

--- a/app/src/main/java/ryemast/Catalogue.java
+++ b/app/src/main/java/ryemast/Catalogue.java
@@ -30,7 +30,7 @@
         var fields = wanted.fields();
         var mapping = new Mapping(new Field(fields.id()), new Field(fields.kind()), new Field(fields.zone()),
                 new Field(fields.cell()), new Field(fields.weight()), new Field(fields.started()),
-                config.tableReader().zones(), config.tableReader().kinds());
+                config.listReader().zones(), config.listReader().kinds());
         var mode = switch (wanted.mode()) {
             case "consistent" -> ConsulSettings.Mode.CONSISTENT;
             case "stale" -> ConsulSettings.Mode.STALE;
--- a/app/src/main/java/ryemast/Rehearsal.java
+++ b/app/src/main/java/ryemast/Rehearsal.java
@@ -16,7 +16,7 @@
 import ryemast.core.Submission;
 import ryemast.core.Terminal;
 import ryemast.net.Transport;
-import ryemast.net.region.RegionPool;
+import ryemast.net.worker.WorkerConnectionPool;
 
 /**
  * One job, before clients come, of a throw-away module, sent as a call-back to this program's own address.
@@ -40,7 +40,7 @@
         this.loop = loop;
         this.then = then;
         exchange = new Exchange(loop, new Brain(config.settings(), 0), 1, 1, 0);
-        pool = new RegionPool(loop, exchange, transport, worker -> self, SECOND, SECOND, SOCKETS,
+        pool = new WorkerConnectionPool(loop, exchange, transport, worker -> self, SECOND, SECOND, SOCKETS,
                 config.tuning().regions());
         exchange.connect(this, () -> { });
         exchange.listed(ListKind.COMPLETE, List.of(new WorkerInfo(NAME, WorkerState.READY, 0, 0, 0, 1, 0)));
--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -19,10 +19,10 @@
 import ryemast.net.Addresses;
 import ryemast.net.Routes;
 import ryemast.net.Transport;
-import ryemast.net.region.RegionPool;
-import ryemast.net.servicetable.TableWatch;
-import ryemast.net.terminal.JobReader;
-import ryemast.net.terminal.TerminalServer;
+import ryemast.net.client.ClientServer;
+import ryemast.net.client.JobReader;
+import ryemast.net.discovery.DiscoveryWatch;
+import ryemast.net.worker.WorkerConnectionPool;
 import ryemast.peers.Peers;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
@@ -54,9 +54,9 @@
     private final Brain brain;
     private final Exchange exchange;
     private final Transport transport;
-    private final TerminalServer terminals;
+    private final ClientServer terminals;
     private final Members members;
-    private final TableWatch table;
+    private final DiscoveryWatch table;
     /** Null where the workers come from the platform's discovery. */
     private final ConsulTable catalogue;
     /** Null where there is no batch submission. */
@@ -96,9 +96,9 @@
         transport = new Transport();
         members = new Members(loop, exchange, new Membership(tuning.members()),
                 new StartTimes(clock::now, () -> System.currentTimeMillis() * Clock.MICROS_PER_MS));
-        table = new TableWatch(loop, members, transport, config.discovery(), config.tableReader(),
+        table = new DiscoveryWatch(loop, members, transport, config.discovery(), config.listReader(),
                 tuning.table());
-        var pool = new RegionPool(loop, exchange, transport, new Routes(members::address),
+        var pool = new WorkerConnectionPool(loop, exchange, transport, new Routes(members::address),
                 config.connectLimit(), config.connIdle(), room.regions(), tuning.regions());
         batch = tuning.batch() == null ? null : Batching.of(config, loop, exchange, pool);
         var called = batch == null ? pool : batch;
@@ -118,7 +118,7 @@
                 : Timetabling.of(config, loop, exchange, called, coordinating.records(), place);
         peers = tuning.peers() == null ? null : Peering.of(config, loop, exchange, brain);
         var workers = timetabling == null ? called : timetabling.front();
-        terminals = new TerminalServer(loop, exchange, transport,
+        terminals = new ClientServer(loop, exchange, transport,
                 new JobReader(config.lanes(), config.orgs()), room.terminals(), tuning.terminals());
         catalogue = tuning.consul() == null ? null : Catalogue.of(config, loop, transport, members);
         if (catalogue == null) {
@@ -160,9 +160,9 @@
                 Note.info(LOG, "{name} listens at {address}",
                         "name", config.name(), "address", Addresses.text(address));
                 if (deafToReload) {
-                    LOG.warning("SIGHUP was ignored when the program began, as under nohup, and has no effect:"
-                            + " a new configuration is followed after a restart only; start the program"
-                            + " without nohup");
+                    LOG.warning("SIGHUP was ignored when the program began, as under nohup, and has no"
+                            + " effect: a new configuration is followed after a restart only; start the"
+                            + " program without nohup");
                 }
             });
         });
--- a/app/src/main/java/ryemast/config/Config.java
+++ b/app/src/main/java/ryemast/config/Config.java
@@ -15,8 +15,8 @@
 import java.util.Map;
 import pipitladder.Dispatcher.Settings;
 import ryemast.net.Addresses;
-import ryemast.net.servicetable.TableReader;
-import ryemast.net.servicetable.TableUpdate;
+import ryemast.net.discovery.ListReader;
+import ryemast.net.discovery.ListUpdate;
 import ryemast.settings.SettingsException;
 import ryemast.settings.SettingsReader;
 
@@ -34,8 +34,8 @@
  * @param tuning    all that the platform has no word for
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, Settings settings, List<String> lanes, List<String> orgs, TableReader tableReader,
-        TableUpdate known, long connectLimit, long connIdle, int maxOpen, long grace, Tuning tuning) {
+        int sockets, Settings settings, List<String> lanes, List<String> orgs, ListReader listReader,
+        ListUpdate known, long connectLimit, long connIdle, int maxOpen, long grace, Tuning tuning) {
 
     public static final int LEAST_SOCKETS = 64;
     /** The batch front's listener, selector and store. */
@@ -129,7 +129,7 @@
         Config config() throws ConfigException {
             var raw = object(file, "settings", "settings");
             var settings = settings(raw);
-            var reader = new TableReader(texts(raw, "areas"), texts(raw, "models"));
+            var reader = new ListReader(texts(raw, "areas"), texts(raw, "models"));
             var allowed = optional(raw, "allowed", "settings.allowed");
             var obligations = optional(raw, "obligations", "settings.obligations");
             var limits = optional(file, "limits", "limits");
@@ -188,9 +188,9 @@
                     : primitive.isNumber() ? (Object) primitive.getAsDouble() : primitive.getAsString();
         }
 
-        private TableUpdate known(TableReader reader) throws ConfigException {
+        private ListUpdate known(ListReader reader) throws ConfigException {
             if (!file.has("known")) {
-                return new TableUpdate(0, true, List.of());
+                return new ListUpdate(0, true, List.of());
             }
             try {
                 return reader.read(file.get("known").toString());
--- a/app/src/main/java/ryemast/config/Tuning.java
+++ b/app/src/main/java/ryemast/config/Tuning.java
@@ -5,9 +5,9 @@
 import ryemast.core.Exchange;
 import ryemast.log.LogTuning;
 import ryemast.membership.Bounds;
-import ryemast.net.region.RegionTuning;
-import ryemast.net.servicetable.TableTuning;
-import ryemast.net.terminal.TerminalTuning;
+import ryemast.net.client.ClientTuning;
+import ryemast.net.discovery.DiscoveryTuning;
+import ryemast.net.worker.WorkerTuning;
 
 /**
  * What an operator may set, as the parts of the program use it. Times are in microseconds. It knows nothing
@@ -23,15 +23,16 @@
  * @param reservations  the file with them; null: nothing is reserved
  * @param peers      null: dispatchers tell each other nothing
  */
-public record Tuning(Unsaid unsaid, Limits limits, TerminalTuning terminals, RegionTuning regions,
-        TableTuning table, Ending ending, LogTuning log, Recording recording, String drained, Bounds members,
+public record Tuning(Unsaid unsaid, Limits limits, ClientTuning terminals, WorkerTuning regions,
+        DiscoveryTuning table, Ending ending, LogTuning log, Recording recording, String drained,
+        Bounds members,
         Consul consul, Batch batch, Coordination coordination, String timetable, String reservations,
         Peers peers) {
 
     public static final Tuning DEFAULT = new Tuning(
             new Unsaid("dispatcher", null, null, 1024, Integer.MAX_VALUE, 250_000, 5_000_000, 20_000),
-            new Limits(48, 3, 8, Exchange.NAMES), TerminalTuning.DEFAULT, RegionTuning.DEFAULT,
-            TableTuning.DEFAULT, new Ending(450_000, 100_000, 700_000), LogTuning.DEFAULT, null, null,
+            new Limits(48, 3, 8, Exchange.NAMES), ClientTuning.DEFAULT, WorkerTuning.DEFAULT,
+            DiscoveryTuning.DEFAULT, new Ending(450_000, 100_000, 700_000), LogTuning.DEFAULT, null, null,
             Bounds.DEFAULT, null, null, null, null, null, null);
 
     /** What holds where the platform says nothing; an address may be null, which then is a fault. */
--- a/app/src/main/java/ryemast/operator/OperatorFile.java
+++ b/app/src/main/java/ryemast/operator/OperatorFile.java
@@ -18,9 +18,9 @@
 import ryemast.log.LogTuning;
 import ryemast.membership.Bounds;
 import ryemast.net.Addresses;
-import ryemast.net.region.RegionTuning;
-import ryemast.net.servicetable.TableTuning;
-import ryemast.net.terminal.TerminalTuning;
+import ryemast.net.client.ClientTuning;
+import ryemast.net.discovery.DiscoveryTuning;
+import ryemast.net.worker.WorkerTuning;
 import ryemast.toml.Faults;
 import ryemast.toml.FaultyFileException;
 import ryemast.toml.TomlTable;
@@ -95,12 +95,12 @@
                         micros(Key.CONNECT_LIMIT_MS), micros(Key.REGION_IDLE_LIMIT_MS), micros(Key.GRACE_MS)),
                 new Tuning.Limits(whole(Key.RESERVED_SOCKETS), whole(Key.REGIONS_SHARE),
                         whole(Key.CALL_BACK_SHARE), whole(Key.NAMES_REMEMBERED)),
-                new TerminalTuning(micros(Key.LONGEST_REQUEST_MS), micros(Key.TERMINAL_IDLE_LIMIT_S),
+                new ClientTuning(micros(Key.LONGEST_REQUEST_MS), micros(Key.TERMINAL_IDLE_LIMIT_S),
                         micros(Key.LINGER_MS), micros(Key.YOUNG_MS), whole(Key.FREE_SHARE),
                         whole(Key.BACKLOG)),
-                new RegionTuning(micros(Key.LEAST_REST_MS), micros(Key.FORGIVING_S),
+                new WorkerTuning(micros(Key.LEAST_REST_MS), micros(Key.FORGIVING_S),
                         micros(Key.PATIENCE_MS)),
-                new TableTuning(micros(Key.SILENCE_MS), whole(Key.TABLE_CONNECT_LIMIT_MS),
+                new DiscoveryTuning(micros(Key.SILENCE_MS), whole(Key.TABLE_CONNECT_LIMIT_MS),
                         whole(Key.LONGEST_LINE_BYTES)),
                 new Tuning.Ending(micros(Key.CLIENTS_COME_MS), micros(Key.REST_MS), micros(Key.LEAST_MS)),
                 new LogTuning(text(Key.FORMAT).equals("json"),
--- a/app/src/test/java/ryemast/log/LogTest.java
+++ b/app/src/test/java/ryemast/log/LogTest.java
@@ -32,7 +32,7 @@
     private static final String TEMPLATE = "{worker} answered {status} to {txn}";
     private static final long BEGIN = 1_800_000_000_123L;
 
-    private final Logger logger = Logger.getLogger("ryemast.net.region.Call");
+    private final Logger logger = Logger.getLogger("ryemast.net.worker.Call");
     private final List<LogRecord> written = new ArrayList<>();
     private final List<String> said = new ArrayList<>();
     private final Repeats repeats = new Repeats(2, 1_000, record -> said.add(record.getMessage()));
@@ -83,7 +83,7 @@
         var at = LocalDateTime.ofInstant(record.getInstant(), ZoneId.systemDefault());
         var trace = new StringWriter();
         record.getThrown().printStackTrace(new PrintWriter(trace, true));
-        assertEquals(String.format(Locale.ROOT, "%tF %tT.%tL WARNING ryemast.net.region.Call: "
+        assertEquals(String.format(Locale.ROOT, "%tF %tT.%tL WARNING ryemast.net.worker.Call: "
                 + "s-1 answered 418 to it's {0}%n%s%n", at, at, at, trace), new TextLines().format(record));
         assertTrue(new TextLines().format(at(-86_400_000L * 365 * 800, note(""))).startsWith("1227-"));
     }
--- a/lab/src/main/java/ryemast/lab/model/Lists.java
+++ b/lab/src/main/java/ryemast/lab/model/Lists.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.util.List;
 import pipitladder.Dispatcher.WorkerInfo;
-import ryemast.net.servicetable.TableReader;
-import ryemast.net.servicetable.TableUpdate;
+import ryemast.net.discovery.ListReader;
+import ryemast.net.discovery.ListUpdate;
 
 /**
  * Reads what discovery says, as dispatchers read it. What many are told alike is read once and shared, so
@@ -16,19 +16,19 @@
     record Told(long version, boolean full, List<WorkerInfo> workers) {
     }
 
-    private final TableReader reader;
+    private final ListReader reader;
     private String lastText = "";
     private Told last;
 
     Lists(List<String> zones, List<String> kinds) {
-        reader = new TableReader(zones, kinds);
+        reader = new ListReader(zones, kinds);
     }
 
     Told read(String json) throws IOException {
         if (!json.equals(lastText)) {
             var update = reader.read(json);
             last = new Told(update.version(), update.full(),
-                    update.entries().stream().map(TableUpdate.Entry::worker).toList());
+                    update.entries().stream().map(ListUpdate.Entry::worker).toList());
             lastText = json;
         }
         return last;
--- a/lab/src/main/java/ryemast/lab/model/ModelMouth.java
+++ b/lab/src/main/java/ryemast/lab/model/ModelMouth.java
@@ -11,7 +11,7 @@
 import ryemast.lab.site.Mouth;
 import ryemast.lab.site.Patience;
 import ryemast.lab.world.VirtualTime;
-import ryemast.net.terminal.CallBackReader;
+import ryemast.net.client.CallBackReader;
 
 /**
  * Carries call-backs to the dispatchers, with the patience of the emulated boxes: one that is not answered in
--- a/lab/src/main/java/ryemast/lab/model/ModelRegion.java
+++ b/lab/src/main/java/ryemast/lab/model/ModelRegion.java
@@ -15,15 +15,15 @@
 import ryemast.core.RoutedTask;
 import ryemast.lab.site.Machine;
 import ryemast.lab.site.Visit;
-import ryemast.net.region.Outcomes;
-import ryemast.net.region.RegionPool;
-import ryemast.net.region.RegionTuning;
-import ryemast.net.region.RestLimit;
+import ryemast.net.worker.Outcomes;
+import ryemast.net.worker.RestLimit;
+import ryemast.net.worker.WorkerConnectionPool;
+import ryemast.net.worker.WorkerTuning;
 
 /**
- * A dispatcher's pooled connections to boxes, as {@link RegionPool} keeps them, and each connection's other
- * end at its box: which one is taken, how long one rests, when one is given up, and what a break means are
- * the pool's rules by the pool's figures.
+ * A dispatcher's pooled connections to boxes, as {@link WorkerConnectionPool} keeps them, and each
+ * connection's other end at its box: which one is taken, how long one rests, when one is given up, and what a
+ * break means are the pool's rules by the pool's figures.
  */
 final class ModelRegion implements Region {
 
@@ -33,7 +33,7 @@
     private final int dispatcher;
     private final Site site;
     private final Loop loop;
-    private final RegionTuning tuning;
+    private final WorkerTuning tuning;
     private final RestLimit restLimit;
     private final long connectLimit;
     private final int most;
@@ -128,7 +128,7 @@
         var connection = new Connection(box);
         if (!sweeping) {
             sweeping = true;
-            loop.at(loop.now() + RegionPool.SWEEP, this::sweep);
+            loop.at(loop.now() + WorkerConnectionPool.SWEEP, this::sweep);
         }
         open.add(connection);
         if (followed.add(box.index())) {
@@ -176,7 +176,7 @@
         }
         sweeping = !open.isEmpty();
         if (sweeping) {
-            loop.at(loop.now() + RegionPool.SWEEP, this::sweep);
+            loop.at(loop.now() + WorkerConnectionPool.SWEEP, this::sweep);
         }
     }
 
--- a/lab/src/main/java/ryemast/lab/model/ModelTable.java
+++ b/lab/src/main/java/ryemast/lab/model/ModelTable.java
@@ -5,23 +5,23 @@
 import pipitladder.Dispatcher.ListKind;
 import ryemast.core.ServiceTable;
 import ryemast.lab.site.Tell;
-import ryemast.net.servicetable.TableTuning;
+import ryemast.net.discovery.DiscoveryTuning;
 
 /**
- * A dispatcher's watch on discovery, as {@code TableWatch} holds it: with the same patience, and with each
- * end told to the module, which decides when to ask again.
+ * A dispatcher's watch on discovery, as {@code DiscoveryWatch} holds it: with the same patience, and with
+ * each end told to the module, which decides when to ask again.
  */
 final class ModelTable implements ServiceTable {
 
     private final Instance instance;
     private final int dispatcher;
     private final Site site;
-    private final TableTuning tuning;
+    private final DiscoveryTuning tuning;
     private final ModelNet.Party party;
     private long version;
     private Watch watch;
 
-    ModelTable(Instance instance, int dispatcher, Site site, TableTuning tuning) {
+    ModelTable(Instance instance, int dispatcher, Site site, DiscoveryTuning tuning) {
         this.instance = instance;
         this.dispatcher = dispatcher;
         this.site = site;
--- a/lab/src/main/java/ryemast/lab/model/Terminals.java
+++ b/lab/src/main/java/ryemast/lab/model/Terminals.java
@@ -13,11 +13,11 @@
 import ryemast.core.Transaction;
 import ryemast.lab.books.Try;
 import ryemast.lab.scenario.Scenario;
-import ryemast.net.terminal.TerminalServer;
-import ryemast.net.terminal.TerminalTuning;
+import ryemast.net.client.ClientServer;
+import ryemast.net.client.ClientTuning;
 
 /**
- * The clients' connections at one dispatcher, as {@link TerminalServer} keeps them: so many at once, those
+ * The clients' connections at one dispatcher, as {@link ClientServer} keeps them: so many at once, those
  * beyond wait in the kernel; which of those at rest make room; and how they end when the dispatcher does.
  * Call-backs come over connections of their own, which take no room here.
  */
@@ -31,7 +31,7 @@
     private final Instance instance;
     private final Scenario scenario;
     private final int most;
-    private final TerminalTuning tuning;
+    private final ClientTuning tuning;
     private final Deque<Connection> unaccepted = new ArrayDeque<>();
     private final Set<Connection> open = new LinkedHashSet<>();
     private final Set<Connection> strangers = new LinkedHashSet<>();
@@ -40,12 +40,12 @@
     private boolean draining;
     private boolean looking;
 
-    Terminals(Instance instance, Scenario scenario, int most, TerminalTuning tuning) {
+    Terminals(Instance instance, Scenario scenario, int most, ClientTuning tuning) {
         this.instance = instance;
         this.scenario = scenario;
         this.most = most;
         this.tuning = tuning;
-        instance.loop().at(instance.loop().now() + TerminalServer.SWEEP, this::sweep);
+        instance.loop().at(instance.loop().now() + ClientServer.SWEEP, this::sweep);
     }
 
     /** A client's end of a connection, as the dispatcher speaks to it; each arrives some time later. */
@@ -79,7 +79,7 @@
             looking = false;
         } else {
             var loop = instance.loop();
-            loop.at(loop.now() + TerminalServer.FULL_PAUSE_MS * Clock.MICROS_PER_MS, this::lookForRoom);
+            loop.at(loop.now() + ClientServer.FULL_PAUSE_MS * Clock.MICROS_PER_MS, this::lookForRoom);
         }
     }
 
@@ -96,7 +96,7 @@
 
     private void sweep() {
         closeResting(tuning.idleLimit());
-        instance.loop().at(instance.loop().now() + TerminalServer.SWEEP, this::sweep);
+        instance.loop().at(instance.loop().now() + ClientServer.SWEEP, this::sweep);
     }
 
     void closeResting(long restedFor) {
--- a/net/src/main/java/ryemast/net/terminal/CallBackReader.java
+++ b/net/src/main/java/ryemast/net/client/CallBackReader.java
@@ -1,12 +1,12 @@
-package ryemast.net.terminal;
+package ryemast.net.client;
 
 import com.google.gson.stream.JsonReader;
 import com.google.gson.stream.JsonToken;
 import java.io.IOException;
 import java.io.StringReader;
 import java.nio.charset.StandardCharsets;
-import ryemast.core.CallBack;
 import ryemast.core.CallBack.State;
+import ryemast.core.CallBack;
 
 /** Reads a worker's call-back. */
 public final class CallBackReader {
--- a/net/src/main/java/ryemast/net/terminal/TerminalConnection.java
+++ b/net/src/main/java/ryemast/net/client/ClientConnection.java
@@ -1,4 +1,4 @@
-package ryemast.net.terminal;
+package ryemast.net.client;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -24,9 +24,9 @@
  * it stay. After a last answer our side alone is shut, for a moment: to close the other side over bytes that
  * have come would reset the connection, and the answer could be lost on its way.
  */
-final class TerminalConnection implements Terminal, Link {
+final class ClientConnection implements Terminal, Link {
 
-    private static final Logger LOG = Logger.getLogger(TerminalConnection.class.getName());
+    private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
     private static final double MICROS_PER_S = 1e6;
     /** How long the client's side stays open after a last answer, in microseconds: longer than ways are. */
     static final long ANSWER_TRAVELS = 200_000;
@@ -42,7 +42,7 @@
         GONE
     }
 
-    private final TerminalServer server;
+    private final ClientServer server;
     private final IoSession session;
     private final PipelinedRequests waiting;
     private Phase phase = Phase.OPEN;
@@ -65,7 +65,7 @@
     /** How many requests the thread that reads has handed over. */
     private long handedOver;
 
-    TerminalConnection(TerminalServer server, IoSession session) {
+    ClientConnection(ClientServer server, IoSession session) {
         this.server = server;
         this.session = session;
         waiting = new PipelinedRequests(server.pipelined);
--- a/net/src/main/java/ryemast/net/terminal/TerminalServer.java
+++ b/net/src/main/java/ryemast/net/client/ClientServer.java
@@ -1,4 +1,4 @@
-package ryemast.net.terminal;
+package ryemast.net.client;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -25,7 +25,7 @@
 import ryemast.net.http.HttpCodec;
 
 /** The address that clients and the workers' call-backs come to, and the connections made to it. */
-public final class TerminalServer {
+public final class ClientServer {
 
     /** How often connections that have rested for too long are looked for, in microseconds. */
     public static final long SWEEP = 250_000;
@@ -36,7 +36,7 @@
      * meanwhile waits in the kernel's queue, and MINA would wait for a second.
      */
     private static final long FAILED_PAUSE_MS = 5;
-    private static final Logger LOG = Logger.getLogger(TerminalServer.class.getName());
+    private static final Logger LOG = Logger.getLogger(ClientServer.class.getName());
     /**
      * For so long a request that is read in part keeps its connection where room is short, in microseconds;
      * a crowd that never ends its requests must not keep call-backs out for longer.
@@ -46,27 +46,27 @@
     final Loop loop;
     final Exchange exchange;
     final JobReader jobs;
-    final TerminalTuning tuning;
+    final ClientTuning tuning;
     final PipelinedRequests.Budget pipelined = new PipelinedRequests.Budget();
     private final NioSocketAcceptor acceptor;
     private final int most;
     /** Those that were accepted and whose end was not told yet; changed by the threads that see them. */
     private final Set<IoSession> accepted = ConcurrentHashMap.newKeySet();
     /** Those between two requests on which no job or call-back has come yet, the longest at rest first. */
-    private final Set<TerminalConnection> strangers = new LinkedHashSet<>();
+    private final Set<ClientConnection> strangers = new LinkedHashSet<>();
     /** Those between two requests on which one has come, in the same order. */
-    private final Set<TerminalConnection> resting = new LinkedHashSet<>();
-    private final Set<TerminalConnection> open = new LinkedHashSet<>();
+    private final Set<ClientConnection> resting = new LinkedHashSet<>();
+    private final Set<ClientConnection> open = new LinkedHashSet<>();
     /** Those of the open ones that end as soon as what was written has left. */
-    private final Set<TerminalConnection> leaving = new HashSet<>();
+    private final Set<ClientConnection> leaving = new HashSet<>();
     private int writing;
     private boolean ready;
     private boolean draining;
     private boolean refusing;
 
     /** {@code most}: how many connections may be open at once. */
-    public TerminalServer(Loop loop, Exchange exchange, Transport transport, JobReader jobs, int most,
-            TerminalTuning tuning) {
+    public ClientServer(Loop loop, Exchange exchange, Transport transport, JobReader jobs, int most,
+            ClientTuning tuning) {
         this.loop = loop;
         this.exchange = exchange;
         this.jobs = jobs;
@@ -117,15 +117,15 @@
     /** Ends the connections that have been between two requests for so long, in microseconds. */
     public void closeResting(long restedFor) {
         betweenRequests().filter(each -> restedFor(each, restedFor) && !each.isAsked(tuning.longestRequest()))
-                .forEach(TerminalConnection::close);
+                .forEach(ClientConnection::close);
     }
 
-    private boolean restedFor(TerminalConnection connection, long time) {
+    private boolean restedFor(ClientConnection connection, long time) {
         return loop.now() - connection.restingSince() >= time;
     }
 
     /** Strangers first; of a copy, as what is done to a connection may move it. */
-    private Stream<TerminalConnection> betweenRequests() {
+    private Stream<ClientConnection> betweenRequests() {
         var found = new ArrayList<>(strangers);
         found.addAll(resting);
         return found.stream();
@@ -142,26 +142,26 @@
         acceptor.unbind();
     }
 
-    void works(TerminalConnection connection) {
+    void works(ClientConnection connection) {
         strangers.remove(connection);
         resting.remove(connection);
     }
 
-    void rests(TerminalConnection connection, boolean stranger) {
+    void rests(ClientConnection connection, boolean stranger) {
         works(connection);
         (stranger ? strangers : resting).add(connection);
     }
 
-    void leaves(TerminalConnection connection) {
+    void leaves(ClientConnection connection) {
         works(connection);
         leaving.add(connection);
     }
 
-    void stays(TerminalConnection connection) {
+    void stays(ClientConnection connection) {
         leaving.remove(connection);
     }
 
-    void ended(TerminalConnection connection) {
+    void ended(ClientConnection connection) {
         works(connection);
         open.remove(connection);
         leaving.remove(connection);
@@ -173,8 +173,8 @@
 
     private void sweep() {
         closeResting(tuning.idleLimit());
-        betweenRequests().forEach(TerminalConnection::checkPace);
-        open.forEach(TerminalConnection::checkWriting);
+        betweenRequests().forEach(ClientConnection::checkPace);
+        open.forEach(ClientConnection::checkWriting);
         accepted.removeIf(session -> !SocketAccess.isOpen(session));
         loop.at(loop.now() + SWEEP, this::sweep);
     }
@@ -189,11 +189,11 @@
         long over = staying - (most - Math.max(1, most / tuning.freeShare()));
         if (over > 0) {
             strangers.stream().filter(each -> restedFor(each, tuning.young()) && !each.isAsked(UNDER_WAY))
-                    .limit(over).toList().forEach(TerminalConnection::close);
+                    .limit(over).toList().forEach(ClientConnection::close);
         }
         if (staying >= most && strangers.isEmpty()) {
             resting.stream().filter(each -> !each.isAsked(UNDER_WAY)).limit(1).toList()
-                    .forEach(TerminalConnection::close);
+                    .forEach(ClientConnection::close);
         }
     }
 
@@ -220,7 +220,7 @@
         protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle)
                 throws Exception {
             if (accepted.size() >= most) {
-                loop.post(TerminalServer.this::makeRoom);
+                loop.post(ClientServer.this::makeRoom);
                 Thread.sleep(FULL_PAUSE_MS);
                 return null;
             }
@@ -250,13 +250,13 @@
 
     private final class Handler extends LinkHandler {
         Handler() {
-            super(TerminalServer.this.loop);
+            super(ClientServer.this.loop);
         }
 
         @Override
         public void sessionCreated(IoSession session) {
             loop.post(() -> {
-                var connection = new TerminalConnection(TerminalServer.this, session);
+                var connection = new ClientConnection(ClientServer.this, session);
                 attach(session, connection);
                 open.add(connection);
                 rests(connection, true);
@@ -266,7 +266,7 @@
 
         @Override
         public void messageSent(IoSession session, Object message) {
-            if (link(session) instanceof TerminalConnection connection) {
+            if (link(session) instanceof ClientConnection connection) {
                 connection.left(message);
             }
         }
--- a/net/src/main/java/ryemast/net/terminal/TerminalTuning.java
+++ b/net/src/main/java/ryemast/net/client/ClientTuning.java
@@ -1,4 +1,4 @@
-package ryemast.net.terminal;
+package ryemast.net.client;
 
 /**
  * How patient the terminals are with those who connect; times in microseconds.
@@ -12,9 +12,9 @@
  *                        wait until one has ended
  * @param backlog         so many connections may wait in the kernel until they are accepted
  */
-public record TerminalTuning(long longestRequest, long idleLimit, long linger, long young, int freeShare,
+public record ClientTuning(long longestRequest, long idleLimit, long linger, long young, int freeShare,
         int backlog) {
 
-    public static final TerminalTuning DEFAULT =
-            new TerminalTuning(2_000_000, 300_000_000, 1_000_000, 50_000, 16, 1024);
+    public static final ClientTuning DEFAULT =
+            new ClientTuning(2_000_000, 300_000_000, 1_000_000, 50_000, 16, 1024);
 }
--- a/net/src/main/java/ryemast/net/terminal/PipelinedRequests.java
+++ b/net/src/main/java/ryemast/net/client/PipelinedRequests.java
@@ -1,4 +1,4 @@
-package ryemast.net.terminal;
+package ryemast.net.client;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/net/src/main/java/ryemast/net/servicetable/TableTuning.java
+++ b/net/src/main/java/ryemast/net/discovery/DiscoveryTuning.java
@@ -1,4 +1,4 @@
-package ryemast.net.servicetable;
+package ryemast.net.discovery;
 
 /**
  * How patient a watch on the service table is. What the table has to tell counts as told 6 s later even on a
@@ -9,7 +9,7 @@
  * @param connectLimitMs  how long its connection may take to come up, in milliseconds
  * @param longestLine     guards the memory against a line without end: some thousand workers fit; in bytes
  */
-public record TableTuning(long silence, long connectLimitMs, int longestLine) {
+public record DiscoveryTuning(long silence, long connectLimitMs, int longestLine) {
 
-    public static final TableTuning DEFAULT = new TableTuning(3_200_000, 1_000, 1 << 20);
+    public static final DiscoveryTuning DEFAULT = new DiscoveryTuning(3_200_000, 1_000, 1 << 20);
 }
--- a/net/src/main/java/ryemast/net/servicetable/TableWatch.java
+++ b/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
@@ -1,4 +1,4 @@
-package ryemast.net.servicetable;
+package ryemast.net.discovery;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -25,9 +25,9 @@
  * opened anew at once, and twice if need be, as what it misses counts as told 6 s after it fell silent: the
  * module's pause, which is there for many dispatchers that fail together, may be longer than what is left.
  */
-public final class TableWatch implements ServiceTable {
+public final class DiscoveryWatch implements ServiceTable {
 
-    private static final Logger LOG = Logger.getLogger(TableWatch.class.getName());
+    private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
     /** With the 3.2 s that a silence takes to notice, both of these are over when what is missed is told. */
     private static final int MOST_HASTY = 2;
     /**
@@ -38,8 +38,8 @@
 
     private final Loop loop;
     private final Members members;
-    private final TableReader reader;
-    private final TableTuning tuning;
+    private final ListReader reader;
+    private final DiscoveryTuning tuning;
     private final Dialer dialer;
     private InetSocketAddress discovery;
     private long version;
@@ -47,8 +47,8 @@
     /** How many calls were made in haste since something was heard. */
     private int hasty;
 
-    public TableWatch(Loop loop, Members members, Transport transport, InetSocketAddress discovery,
-            TableReader reader, TableTuning tuning) {
+    public DiscoveryWatch(Loop loop, Members members, Transport transport, InetSocketAddress discovery,
+            ListReader reader, DiscoveryTuning tuning) {
         this.loop = loop;
         this.members = members;
         this.discovery = discovery;
@@ -62,7 +62,7 @@
      * The list as it was last known, before discovery has been asked. Where lists are pushed nobody asks for
      * them, and yet they come on a watch only: it is opened now, as what discovery has counts as told.
      */
-    public void begin(TableUpdate known, boolean pushed) {
+    public void begin(ListUpdate known, boolean pushed) {
         follow(known, ListKind.CACHED);
         if (pushed) {
             watch(shortPatience());
@@ -104,10 +104,10 @@
         }
     }
 
-    private void follow(TableUpdate update, ListKind kind) {
+    private void follow(ListUpdate update, ListKind kind) {
         version = update.version();
         members.discovered(kind, version,
-                update.entries().stream().map(TableUpdate.Entry::sighting).toList());
+                update.entries().stream().map(ListUpdate.Entry::sighting).toList());
     }
 
     /** One call to discovery, from its connecting to its end; one that is replaced is not heard any more. */
@@ -215,7 +215,7 @@
         private void follow(String text) throws IOException {
             try {
                 var update = reader.read(text);
-                TableWatch.this.follow(update, update.full() ? ListKind.COMPLETE : ListKind.CHANGES);
+                DiscoveryWatch.this.follow(update, update.full() ? ListKind.COMPLETE : ListKind.CHANGES);
             } catch (IOException e) {
                 throw new IOException("a malformed line: " + e.getMessage(), e);
             }
--- a/net/src/main/java/ryemast/net/servicetable/Frames.java
+++ b/net/src/main/java/ryemast/net/discovery/Frames.java
@@ -1,4 +1,4 @@
-package ryemast.net.servicetable;
+package ryemast.net.discovery;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/net/src/main/java/ryemast/net/servicetable/TableReader.java
+++ b/net/src/main/java/ryemast/net/discovery/ListReader.java
@@ -1,4 +1,4 @@
-package ryemast.net.servicetable;
+package ryemast.net.discovery;
 
 import com.google.gson.stream.JsonReader;
 import com.google.gson.stream.JsonToken;
@@ -11,10 +11,10 @@
 import pipitladder.Dispatcher.WorkerState;
 import ryemast.core.Clock;
 import ryemast.net.Addresses;
-import ryemast.net.servicetable.TableUpdate.Entry;
+import ryemast.net.discovery.ListUpdate.Entry;
 
 /** Reads the service table's JSON; zones and kinds are given the settings' numbers. */
-public final class TableReader {
+public final class ListReader {
 
     /** The number of a zone or kind that the settings do not name. */
     private static final int UNKNOWN = -1;
@@ -22,7 +22,7 @@
     private final List<String> zones;
     private final List<String> kinds;
 
-    public TableReader(List<String> zones, List<String> kinds) {
+    public ListReader(List<String> zones, List<String> kinds) {
         this.zones = zones;
         this.kinds = kinds;
     }
@@ -37,7 +37,7 @@
     }
 
     /** One object; an {@link IOException} says what is wrong with it. */
-    public TableUpdate read(String json) throws IOException {
+    public ListUpdate read(String json) throws IOException {
         try (var in = new JsonReader(new StringReader(json))) {
             long version = 0;
             boolean full = false;
@@ -58,7 +58,7 @@
             if (entries == null) {
                 throw new IOException("no servers");
             }
-            return new TableUpdate(version, full, entries);
+            return new ListUpdate(version, full, entries);
         } catch (IllegalStateException | IllegalArgumentException e) {
             throw new IOException(e.getMessage(), e);
         }
--- a/net/src/main/java/ryemast/net/servicetable/TableUpdate.java
+++ b/net/src/main/java/ryemast/net/discovery/ListUpdate.java
@@ -1,4 +1,4 @@
-package ryemast.net.servicetable;
+package ryemast.net.discovery;
 
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -8,7 +8,7 @@
 import ryemast.net.Addresses;
 
 /** What the service table says at one time: all of its entries, or those that changed. */
-public record TableUpdate(long version, boolean full, List<Entry> entries) {
+public record ListUpdate(long version, boolean full, List<Entry> entries) {
 
     /** {@code address} may be null for a worker that is gone. */
     public record Entry(WorkerInfo worker, InetSocketAddress address) {
--- a/net/src/main/java/ryemast/net/region/Call.java
+++ b/net/src/main/java/ryemast/net/worker/Call.java
@@ -1,4 +1,4 @@
-package ryemast.net.region;
+package ryemast.net.worker;
 
 import java.util.function.Supplier;
 import java.util.logging.Logger;
--- a/net/src/main/java/ryemast/net/region/Outcomes.java
+++ b/net/src/main/java/ryemast/net/worker/Outcomes.java
@@ -1,4 +1,4 @@
-package ryemast.net.region;
+package ryemast.net.worker;
 
 import pipitladder.Dispatcher.Outcome;
 
--- a/net/src/main/java/ryemast/net/region/RestLimit.java
+++ b/net/src/main/java/ryemast/net/worker/RestLimit.java
@@ -1,4 +1,4 @@
-package ryemast.net.region;
+package ryemast.net.worker;
 
 /**
  * For how long a connection may rest and still be used again: well before the worker's own limit, as a call
@@ -7,14 +7,14 @@
  */
 public final class RestLimit {
 
-    private final RegionTuning tuning;
+    private final WorkerTuning tuning;
     private final long most;
     /** The rest that connections are known to outlast: a part of the one after which one was found broken. */
     private long limit;
     private long since;
 
     /** {@code connIdle}: after how long a worker closes an idle connection. */
-    public RestLimit(long connIdle, RegionTuning tuning) {
+    public RestLimit(long connIdle, WorkerTuning tuning) {
         this.tuning = tuning;
         most = connIdle * 3 / 4;
         limit = most;
--- a/net/src/main/java/ryemast/net/region/RegionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -1,4 +1,4 @@
-package ryemast.net.region;
+package ryemast.net.worker;
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -33,9 +33,9 @@
  * Carries routed tasks to the workers over pooled connections, one call at a time on each. Nothing is ever
  * sent twice from here: what happens to a call is told to the exchange as the protocol's table has it.
  */
-public final class RegionPool implements Region {
+public final class WorkerConnectionPool implements Region {
 
-    private static final Logger LOG = Logger.getLogger(RegionPool.class.getName());
+    private static final Logger LOG = Logger.getLogger(WorkerConnectionPool.class.getName());
     /** How often connections that have rested for too long are looked for, in microseconds. */
     public static final long SWEEP = 250_000;
 
@@ -50,12 +50,12 @@
     private final Exchange exchange;
     private final Function<String, InetSocketAddress> addresses;
     private final Dialer dialer;
-    private final RegionTuning tuning;
+    private final WorkerTuning tuning;
     private final RestLimit restLimit;
     private final int most;
     /** Idle connections by address; the one used last is taken first, so that spare ones can age. */
-    private final Map<InetSocketAddress, Deque<RegionConnection>> idle = new HashMap<>();
-    private final Set<RegionConnection> open = new HashSet<>();
+    private final Map<InetSocketAddress, Deque<WorkerConnection>> idle = new HashMap<>();
+    private final Set<WorkerConnection> open = new HashSet<>();
     private boolean sweeping;
 
     /**
@@ -64,9 +64,9 @@
      * @param connIdle      after how long a worker closes an idle connection
      * @param most          how many connections may be open at once
      */
-    public RegionPool(Loop loop, Exchange exchange, Transport transport,
+    public WorkerConnectionPool(Loop loop, Exchange exchange, Transport transport,
             Function<String, InetSocketAddress> addresses, long connectLimit, long connIdle, int most,
-            RegionTuning tuning) {
+            WorkerTuning tuning) {
         this.loop = loop;
         this.exchange = exchange;
         this.addresses = addresses;
@@ -95,7 +95,7 @@
     /** Before the worker has answered, the connection's end gives the attempt up; after, a message does. */
     @Override
     public void giveUp(RoutedTask task) {
-        var carrier = (RegionConnection) task.carrier();
+        var carrier = (WorkerConnection) task.carrier();
         if (carrier == null) {
             return;
         }
@@ -121,7 +121,7 @@
     }
 
     /** The connection that the call is on, or null if there was none to be had. */
-    private RegionConnection call(InetSocketAddress address, Call call) {
+    private WorkerConnection call(InetSocketAddress address, Call call) {
         var kept = kept(address);
         if (kept != null) {
             kept.carry(call);
@@ -133,7 +133,7 @@
             call.broke();
             return null;
         }
-        var connection = new RegionConnection(address);
+        var connection = new WorkerConnection(address);
         if (!sweeping) {
             sweeping = true;
             loop.at(loop.now() + SWEEP, this::sweep);
@@ -146,7 +146,7 @@
     /**
      * The connection that was used last of those that may be used again, taken off; null if there is none.
      */
-    private RegionConnection kept(InetSocketAddress address) {
+    private WorkerConnection kept(InetSocketAddress address) {
         var pooled = idle.get(address);
         if (pooled == null) {
             return null;
@@ -168,7 +168,7 @@
         return null;
     }
 
-    private long rested(RegionConnection connection) {
+    private long rested(WorkerConnection connection) {
         return loop.now() - connection.idleSince;
     }
 
@@ -176,7 +176,7 @@
     private boolean dropOldestIdle() {
         var oldest = idle.values().stream().map(Deque::peekFirst)
                 .min(Comparator.comparingLong(connection -> connection.idleSince));
-        oldest.ifPresent(RegionConnection::close);
+        oldest.ifPresent(WorkerConnection::close);
         return oldest.isPresent();
     }
 
@@ -194,7 +194,7 @@
         }
     }
 
-    private final class RegionConnection implements Link {
+    private final class WorkerConnection implements Link {
         private final InetSocketAddress address;
         private IoSession session;
         private Call call;
@@ -205,7 +205,7 @@
         private long restBefore = -1;
         private boolean closed;
 
-        RegionConnection(InetSocketAddress address) {
+        WorkerConnection(InetSocketAddress address) {
             this.address = address;
         }
 
--- a/net/src/main/java/ryemast/net/region/RegionTuning.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerTuning.java
@@ -1,4 +1,4 @@
-package ryemast.net.region;
+package ryemast.net.worker;
 
 /**
  * How connections to workers are kept; times in microseconds.
@@ -7,7 +7,7 @@
  * @param forgiving  after so long without a break at the next use, they may rest for twice as long again
  * @param patience   how long an answer is awaited that no routed task waits for any more
  */
-public record RegionTuning(long leastRest, long forgiving, long patience) {
+public record WorkerTuning(long leastRest, long forgiving, long patience) {
 
-    public static final RegionTuning DEFAULT = new RegionTuning(25_000, 30_000_000, 2_000_000);
+    public static final WorkerTuning DEFAULT = new WorkerTuning(25_000, 30_000_000, 2_000_000);
 }
--- a/net/src/test/java/ryemast/net/terminal/ConnectionEndTest.java
+++ b/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
@@ -1,4 +1,4 @@
-package ryemast.net.terminal;
+package ryemast.net.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -19,12 +19,12 @@
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import pipitladder.Dispatcher;
 import pipitladder.Dispatcher.Action;
 import pipitladder.Dispatcher.ClientGone;
 import pipitladder.Dispatcher.Event;
 import pipitladder.Dispatcher.Fail;
 import pipitladder.Dispatcher.Request;
+import pipitladder.Dispatcher;
 import ryemast.core.Exchange;
 import ryemast.core.Region;
 import ryemast.core.RoutedTask;
@@ -44,13 +44,13 @@
             + "X-Remaining-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
     private static final int MOST = 50;
     /** As long as no test wants a connection to be at rest for too long. */
-    private static final TerminalTuning TUNING = TerminalTuning.DEFAULT;
+    private static final ClientTuning TUNING = ClientTuning.DEFAULT;
 
     private final DrivenLoop driven = new DrivenLoop();
     private final List<Event> events = new ArrayList<>();
     private final Exchange exchange = new Exchange(driven.loop, new Silent(), 99, 9, 0);
     private final Transport transport = new Transport();
-    private TerminalServer server;
+    private ClientServer server;
     private InetSocketAddress address;
     private HeldProcessor processor;
     private final List<Socket> clients = new ArrayList<>();
@@ -75,7 +75,7 @@
             @Override
             public void giveUp(RoutedTask task) { }
         }, () -> { });
-        server = new TerminalServer(driven.loop, exchange, transport,
+        server = new ClientServer(driven.loop, exchange, transport,
                 new JobReader(List.of("load"), List.of()), MOST, TUNING);
         address = server.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         processor = new HeldProcessor(transport, driven);
@@ -171,7 +171,7 @@
         assertTrue(answers.startsWith("HTTP/1.1 404") && answers.contains("Connection: close"), answers);
         driven.turnFor(20);
         assertFalse(server.isQuiet(), "the client's side is left open for a moment");
-        driven.pass(TerminalConnection.ANSWER_TRAVELS + 10_000);
+        driven.pass(ClientConnection.ANSWER_TRAVELS + 10_000);
         driven.until(server::isQuiet);
     }
 
--- a/net/src/test/java/ryemast/net/terminal/PipelinedRequestsTest.java
+++ b/net/src/test/java/ryemast/net/client/PipelinedRequestsTest.java
@@ -1,4 +1,4 @@
-package ryemast.net.terminal;
+package ryemast.net.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/net/src/test/java/ryemast/net/terminal/ReadersTest.java
+++ b/net/src/test/java/ryemast/net/client/ReadersTest.java
@@ -1,4 +1,4 @@
-package ryemast.net.terminal;
+package ryemast.net.client;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -100,7 +100,7 @@
 
     @Test
     void aRefusalTellsDecimalSeconds() {
-        assertEquals("0.250", TerminalConnection.seconds(250_000));
-        assertEquals("0.001", TerminalConnection.seconds(1));
+        assertEquals("0.250", ClientConnection.seconds(250_000));
+        assertEquals("0.001", ClientConnection.seconds(1));
     }
 }
--- a/net/src/test/java/ryemast/net/servicetable/TableReaderTest.java
+++ b/net/src/test/java/ryemast/net/discovery/ListReaderTest.java
@@ -1,4 +1,4 @@
-package ryemast.net.servicetable;
+package ryemast.net.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -15,9 +15,9 @@
 import pipitladder.Dispatcher.WorkerState;
 import ryemast.net.Bytes;
 
-class TableReaderTest {
+class ListReaderTest {
 
-    private static final TableReader READER = new TableReader(List.of("a", "b"), List.of("m1", "m2"));
+    private static final ListReader READER = new ListReader(List.of("a", "b"), List.of("m1", "m2"));
     private static final String ENTRY = "{\"id\":\"s-1\",\"addr\":\"10.1.0.18:3000\",\"zone\":\"b\","
             + "\"kind\":\"m2\",\"cell\":3,\"state\":\"Ready\",\"weight\":1.5,"
             + "\"started_ms\":1700000000123,\"new\":[{}]}";
--- a/net/src/test/java/ryemast/net/region/AttemptBeginsTest.java
+++ b/net/src/test/java/ryemast/net/worker/AttemptBeginsTest.java
@@ -1,4 +1,4 @@
-package ryemast.net.region;
+package ryemast.net.worker;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -18,7 +18,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import pipitladder.Dispatcher;
 import pipitladder.Dispatcher.Action;
 import pipitladder.Dispatcher.AttemptEnded;
 import pipitladder.Dispatcher.Event;
@@ -28,6 +27,7 @@
 import pipitladder.Dispatcher.Send;
 import pipitladder.Dispatcher.WorkerInfo;
 import pipitladder.Dispatcher.WorkerState;
+import pipitladder.Dispatcher;
 import ryemast.core.Exchange;
 import ryemast.core.Submission;
 import ryemast.core.Terminal;
@@ -86,8 +86,8 @@
     void listen() throws IOException {
         worker = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         var address = new InetSocketAddress(worker.getInetAddress(), worker.getLocalPort());
-        exchange.connect(new RegionPool(driven.loop, exchange, transport, id -> address, CONNECT_LIMIT,
-                5 * SECOND, 9, RegionTuning.DEFAULT), () -> { });
+        exchange.connect(new WorkerConnectionPool(driven.loop, exchange, transport, id -> address,
+                CONNECT_LIMIT, 5 * SECOND, 9, WorkerTuning.DEFAULT), () -> { });
         listed(WorkerState.READY);
     }
 
@@ -202,7 +202,7 @@
         exchange.left(submit());
         try (var wire = worker.accept()) {
             driven.until(() -> outcomes.equals(List.of(Outcome.NOT_SENT)));
-            driven.pass(RegionPool.LEAST_REST);
+            driven.pass(WorkerConnectionPool.LEAST_REST);
             exchange.submit(new Submission("u", 0, 0, 1, 0, 0, driven.loop.now() + 5 * SECOND, "/api/u",
                     new byte[0]), new NoTerminal());
             driven.until(() -> wire.getInputStream().available() > 0);
@@ -221,7 +221,7 @@
             first.getOutputStream().write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n".getBytes(
                     StandardCharsets.US_ASCII));
             driven.turnFor(50);
-            driven.pass(RegionPool.LEAST_REST - 1);
+            driven.pass(WorkerConnectionPool.LEAST_REST - 1);
             exchange.submit(new Submission("u", 0, 0, 1, 0, 0, driven.loop.now() + 5 * SECOND, "/api/u",
                     new byte[0]), new NoTerminal());
             driven.turnFor(50);
--- a/net/src/test/java/ryemast/net/region/CallTest.java
+++ b/net/src/test/java/ryemast/net/worker/CallTest.java
@@ -1,4 +1,4 @@
-package ryemast.net.region;
+package ryemast.net.worker;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
