Write the store's file anew after a sync that failed, and end on an error of the JVM

Cause: DurableStore.commit closed the file after a failed sync and reopen took what it read there for what is on the disk; a system may drop pages that it could not write, show them all the same, and say nothing at the next sync (after such a failure Linux marks them clean). Now all is written to another file, synced, which takes the place of the first, before anything more is taken. An Error in the loop ended its thread alone, and the other threads went on to let clients in whom nobody answered (Main.start caught Exception only); the program ends with 1 now. DurableStoreTest.afterASyncThatFailedAllIsWrittenAnew, which fails without it.

--- a/app/src/main/java/ryemast/Main.java
+++ b/app/src/main/java/ryemast/Main.java
@@ -70,6 +70,10 @@
         } catch (Exception e) {
             System.err.println("ryemast: cannot start: " + e);
             return FAILED;
+        } catch (Error e) {
+            // Other threads would go on and let clients in whom nobody answers.
+            System.err.println("ryemast: cannot go on: " + e);
+            return FAILED;
         }
     }
 }
--- a/store/src/main/java/ryemast/store/DurableStore.java
+++ b/store/src/main/java/ryemast/store/DurableStore.java
@@ -1,8 +1,10 @@
 package ryemast.store;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,9 +17,11 @@
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
+import org.h2.mvstore.MVStoreTool;
 import org.h2.mvstore.DataUtils;
 import org.h2.mvstore.type.ByteArrayDataType;
 import org.h2.mvstore.type.LongDataType;
+import org.h2.store.fs.FilePath;
 
 /**
  * Tables of bytes by number in one file that survives the process, on H2's MVStore. Guarantees that once
@@ -29,9 +33,9 @@
  *
  * <p>A disk that fails, or is full, costs the writes of that commit, which are told so, and nothing else:
  * MVStore closes itself when a write fails, so the file is opened again, with the last state that was
- * committed, before the next commit. Files of a newer schema, of another purpose, in use by another
- * process, or torn beyond what MVStore's checksums can find a whole state in, are not opened, and stay as
- * they are.
+ * committed, before the next commit; after a sync that failed all of it is written anew first. Files of a
+ * newer schema, of another purpose, in use by another process, or torn beyond what MVStore's checksums can
+ * find a whole state in, are not opened, and stay as they are.
  *
  * <p>MVStore never overwrites a live chunk, and picks the newest whole one at the start, so that a kill at
  * any time leaves the last commit. What is dead is used again after {@link #RETAIN_MS}; pages that keep a
@@ -50,6 +54,8 @@
     private static final int CLOSE_COMPACT_MS = 200;
     private static final long END_S = 20;
     private static final String ABOUT = "about";
+    /** What is added to the file's name while it is written anew. */
+    private static final String ANEW = ".anew";
 
     /** What a store is, and how much it may take. */
     public record Kind(String purpose, int schema, long mostBytes, long reserveBytes) {
@@ -69,6 +75,8 @@
     private final Map<String, MVMap<Long, byte[]>> tables = new HashMap<>();
     private final Thread thread = new Thread(this::run, "store");
     private volatile MVStore store;
+    /** The last commit may be in the system's memory alone; of the store's thread, once it runs. */
+    private boolean unsynced;
     private volatile boolean ended;
     private volatile long commits;
     private volatile long changed;
@@ -98,6 +106,9 @@
     }
 
     private void reopen() throws StoreException {
+        if (unsynced) {
+            rewrite();
+        }
         MVStore opened;
         try {
             opened = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(CACHE_MB)
@@ -129,6 +140,32 @@
         store = opened;
     }
 
+    /**
+     * Guards what was promised against a sync that failed: the system may have dropped what it could not
+     * write, still show it to whoever reads, and say nothing at the next sync. So all that is read is written
+     * anew, to another file, which takes the place of this one once it is on the disk.
+     */
+    private void rewrite() throws StoreException {
+        var from = file.toString();
+        var anew = FilePath.get(from + ANEW);
+        try {
+            anew.delete();
+            MVStoreTool.compact(from, anew.toString(), false);
+            try (var channel = anew.open("rw")) {
+                channel.force(true);
+            }
+            anew.moveTo(FilePath.get(from), true);
+            var folder = Path.of(FilePath.get(from).unwrap().toString()).toAbsolutePath().getParent();
+            try (var channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+                channel.force(true);
+            }
+            unsynced = false;
+        } catch (IOException | RuntimeException e) {
+            throw new StoreException(file + ": a sync failed, and it can't be written anew: " + e.getMessage()
+                    + "; nothing more is taken until it can", e);
+        }
+    }
+
     private void checkKind(MVStore opened) throws StoreException {
         var about = opened.openMap(ABOUT, new MVMap.Builder<String, String>());
         var purpose = about.get("purpose");
@@ -287,7 +324,9 @@
                 }
             }
             store.commit();
+            unsynced = true;
             store.sync();
+            unsynced = false;
             commits++;
             fileBytes = store.getFileStore().size();
             longest = Math.max(longest, (System.nanoTime() - begin) / 1_000);
@@ -305,7 +344,9 @@
         try {
             if (!store.isClosed()) {
                 if (store.compact(FILL_PERCENT, MOVE_BYTES)) {
+                    unsynced = true;
                     store.sync();
+                    unsynced = false;
                 }
                 fileBytes = store.getFileStore().size();
             }
--- a/store/src/test/java/ryemast/store/DurableStoreTest.java
+++ b/store/src/test/java/ryemast/store/DurableStoreTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -12,6 +13,7 @@
 import java.io.RandomAccessFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayList;
 import java.util.Random;
 import java.util.TreeMap;
@@ -149,6 +151,37 @@
         }
     }
 
+    /**
+     * A system may drop what it could not sync, show it all the same, and say nothing at the next sync: what
+     * is to last must come into a file of which no sync has failed.
+     */
+    @Test
+    void afterASyncThatFailedAllIsWrittenAnew() throws Exception {
+        FullDisk.install();
+        var real = folder.resolve("s.mv");
+        var file = Path.of(FullDisk.SCHEME + real);
+        try (var store = DurableStore.open(file, KIND)) {
+            assertNull(write(store, new Changes().put("t", 1, "before".getBytes())));
+            var former = Files.readAttributes(real, BasicFileAttributes.class).fileKey();
+            FullDisk.unsynced(true);
+            assertNotNull(write(store, new Changes().put("t", 2, "unsynced".getBytes())));
+            assertNotNull(write(store, new Changes().put("t", 3, "nor this".getBytes())), "it can't be written anew");
+            FullDisk.unsynced(false);
+            assertNull(write(store, new Changes().put("t", 4, "after".getBytes())));
+            assertNotEquals(former, Files.readAttributes(real, BasicFileAttributes.class).fileKey());
+        } finally {
+            FullDisk.unsynced(false);
+        }
+        try (var store = DurableStore.open(file, KIND)) {
+            var found = all(store, "t");
+            assertEquals("before", found.get(1L));
+            assertEquals("after", found.get(4L));
+        }
+        var newer = assertThrows(StoreException.class, () -> DurableStore.open(file,
+                new DurableStore.Kind("test", 2, 1 << 30, 0)));
+        assertTrue(newer.getMessage().contains("schema 3"), newer::getMessage);
+    }
+
     @Test
     void roomIsWhatTheBoundsLeave() throws Exception {
         try (var store = open()) {
