--- a/app/src/test/java/ryemast/log/LogTest.java
+++ b/app/src/test/java/ryemast/log/LogTest.java
@@ -129,7 +129,7 @@
                 List.copyOf(json.keySet()));
         assertEquals("2027-01-15T08:00:00.123Z", json.get("time").getAsString());
         assertEquals("WARNING", json.get("level").getAsString());
-        assertEquals("net.region.Call", json.get("part").getAsString());
+        assertEquals("net.worker.Call", json.get("part").getAsString());
         assertEquals("s-1 answered 418 to a\"{worker}\n{0}\u2028", json.get("message").getAsString());
         assertEquals(418, json.get("status").getAsInt());
         assertEquals("a\"{worker}\n{0}\u2028", json.get("txn").getAsString());
--- a/decisions/src/main/java/ryemast/membership/SourceBook.java
+++ b/decisions/src/main/java/ryemast/membership/SourceBook.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
--- a/decisions/src/test/java/pipitladder/FullSizeTest.java
+++ b/decisions/src/test/java/pipitladder/FullSizeTest.java
@@ -1,14 +1,12 @@
 package pipitladder;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pipitladder.Stage.MS;
 import static pipitladder.Stage.S;
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -263,7 +261,7 @@
     /** Where a job can't be taken back it must not stand in two queues: a copy costs its work. */
     private static Settings withoutCancel(Settings all, long progress) {
         return new Settings(0, all.dispatchers(), 0, MS, true, true, true, progress, all.classes(),
-                all.tenants(), all.reportFields(), 
+                all.tenants(), all.reportFields(),
                 new Limits(4, true, false, false, false, false, 0, 250 * MS), all.rules(), all.prices());
     }
 
--- a/decisions/src/test/java/ryemast/move/MoverSearchTest.java
+++ b/decisions/src/test/java/ryemast/move/MoverSearchTest.java
@@ -23,7 +23,9 @@
  */
 class MoverSearchTest {
 
-    private static final int NOBODY = -1, A = 0, B = 1;
+    private static final int NOBODY = -1;
+    private static final int A = 0;
+    private static final int B = 1;
     private static final boolean DEEP = Boolean.getBoolean("moves.deep");
     /** Deeper than any: all states that can be reached. */
     private static final int ALL = 999;
--- a/decisions/src/test/java/ryemast/move/MoverTest.java
+++ b/decisions/src/test/java/ryemast/move/MoverTest.java
@@ -14,7 +14,9 @@
 
     private static final Load LOAD = new Load(2_000_000, 7);
     private static final Wanted TO_B = new Wanted("bills", "B", LOAD);
-    private static final long HOLDS = 2_970_000, SETTLE = 3_030_000, FIRST = 10_000_000;
+    private static final long HOLDS = 2_970_000;
+    private static final long SETTLE = 3_030_000;
+    private static final long FIRST = 10_000_000;
 
     private static Side side(Phase phase, String other) {
         return new Side(1, phase, other, LOAD, Side.FROM_THE_START, Side.ALL, true, SETTLE);
--- a/decisions/src/test/java/ryemast/move/Sites.java
+++ b/decisions/src/test/java/ryemast/move/Sites.java
@@ -31,10 +31,25 @@
     static final int SETTLE = 100;
     static final int NOW = 1_000;
     /** Records, former ones, the backup, wishes, fires claimed at A and B, those that A's records show. */
-    static final int REC = 0, OLD = 2, BACKUP = 4, WISH = 5, CLAIMED = 6, SHOWN = 8, SAVED = 9, MOVERS = 10;
+    static final int REC = 0;
+    static final int OLD = 2;
+    static final int BACKUP = 4;
+    static final int WISH = 5;
+    static final int CLAIMED = 6;
+    static final int SHOWN = 8;
+    static final int SAVED = 9;
+    static final int MOVERS = 10;
     /** Of a mover: what it read of its own record, of the other's, what it sent, and about these. */
-    static final int OWN = 0, OTHER = 1, SENT = 2, BITS = 3, SIZE = 4;
-    static final int PASSED = 1, LOOKED = 2, AFTER = 4, CURRENT = 8, OLDER = 16;
+    static final int OWN = 0;
+    static final int OTHER = 1;
+    static final int SENT = 2;
+    static final int BITS = 3;
+    static final int SIZE = 4;
+    static final int PASSED = 1;
+    static final int LOOKED = 2;
+    static final int AFTER = 4;
+    static final int CURRENT = 8;
+    static final int OLDER = 16;
     /** An own record that is not the present one, and by which the mover still acts. */
     static final int FORMER = 255;
     static final Load[] LOADS = {Load.NOTHING, new Load(1, 1), new Load(1, 2)};
--- a/firing/src/test/java/ryemast/firing/Process.java
+++ b/firing/src/test/java/ryemast/firing/Process.java
@@ -1,7 +1,6 @@
 package ryemast.firing;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
--- a/lab/src/main/java/ryemast/lab/cli/LoadWords.java
+++ b/lab/src/main/java/ryemast/lab/cli/LoadWords.java
@@ -98,7 +98,7 @@
         var m = step.detail().measured();
         table.row(Math.round(step.rate()), Math.round(m.servedPerSecond()), cell(m.latency(), 50),
                 cell(m.latency(), 99), cell(m.latency(), 99.9), percent(m.busy()),
-                number(step.detail().emulatorLateMs(), 1), 
+                number(step.detail().emulatorLateMs(), 1),
                 word(step.verdict()) + (step.repeated() ? " (again)" : ""));
     }
 
--- a/lab/src/main/java/ryemast/lab/model/ModelPeers.java
+++ b/lab/src/main/java/ryemast/lab/model/ModelPeers.java
@@ -1,6 +1,5 @@
 package ryemast.lab.model;
 
-import java.util.List;
 import pipitladder.Brain;
 import pipitladder.Dispatcher.PeersTold;
 import ryemast.fleet.signals.Signals;
--- a/lab/src/test/java/ryemast/lab/site/BoxTest.java
+++ b/lab/src/test/java/ryemast/lab/site/BoxTest.java
@@ -277,7 +277,7 @@
                     100 box0 READY 1.0
                     160 a DONE 100"""),
             ill("resets", FaultKind.RESETS, "0 a RESET\n0 va reset"),
-            ill("errors", FaultKind.ERRORS, 
+            ill("errors", FaultKind.ERRORS,
                     "0 a TAKEN\n0 va 202\n0 a began\n100 a FAILED 100\n100 {a failed}"),
             ill("turned away", FaultKind.TURNED_AWAY, "0 a TURNED_AWAY\n0 va away"),
             new Case("kept connections dropped after 2 ms", PLAIN, rig -> {
--- a/net/src/main/java/ryemast/net/discovery/ListReader.java
+++ b/net/src/main/java/ryemast/net/discovery/ListReader.java
@@ -4,7 +4,6 @@
 import com.google.gson.stream.JsonToken;
 import java.io.IOException;
 import java.io.StringReader;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import pipitladder.Dispatcher.WorkerInfo;
--- a/net/src/test/java/ryemast/net/worker/AttemptBeginsTest.java
+++ b/net/src/test/java/ryemast/net/worker/AttemptBeginsTest.java
@@ -49,6 +49,7 @@
     private static final long MS = 1_000;
     private static final long CONNECT_LIMIT = 2 * SECOND;
     private static final int SILENCE_MS = 250;
+    private static final int PATIENCE_MS = 20_000;
     private static final String WORKER = "w";
     private static final Pattern REMAINING = Pattern.compile("(?i)x-remaining-ms: (\\d+)");
 
@@ -85,6 +86,7 @@
     @BeforeEach
     void listen() throws IOException {
         worker = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        worker.setSoTimeout(PATIENCE_MS);
         var address = new InetSocketAddress(worker.getInetAddress(), worker.getLocalPort());
         exchange.connect(new WorkerConnectionPool(driven.loop, exchange, transport, id -> address,
                 CONNECT_LIMIT, 5 * SECOND, 9, WorkerTuning.DEFAULT), () -> { });
--- a/store/src/test/java/ryemast/store/DurableStoreTest.java
+++ b/store/src/test/java/ryemast/store/DurableStoreTest.java
@@ -165,7 +165,8 @@
             var former = Files.readAttributes(real, BasicFileAttributes.class).fileKey();
             FullDisk.unsynced(true);
             assertNotNull(write(store, new Changes().put("t", 2, "unsynced".getBytes())));
-            assertNotNull(write(store, new Changes().put("t", 3, "nor this".getBytes())), "it can't be written anew");
+            assertNotNull(write(store, new Changes().put("t", 3, "nor this".getBytes())),
+                    "it can't be written anew");
             FullDisk.unsynced(false);
             assertNull(write(store, new Changes().put("t", 4, "after".getBytes())));
             assertNotEquals(former, Files.readAttributes(real, BasicFileAttributes.class).fileKey());
