Take no more requests of a client that reads none of its answers

Seen in a test that floods one connection: each request was taken at once and its answer queued, however many waited to be written, so that the memory was the client's to fill (ClientConnection.received, MINA's write queue has no bound). Now 256 answers may wait; what comes behind is kept, counted and at last turned away with the connection. ConnectionEndTest.aClientThatSendsOnAndReadsNothingIsEnded.

--- a/net/src/main/java/ryemast/net/client/ClientConnection.java
+++ b/net/src/main/java/ryemast/net/client/ClientConnection.java
@@ -33,6 +33,9 @@
     /** How long a client may take to read some of what is written to it, in microseconds. */
     private static final long LONGEST_WRITE = 60_000_000;
 
+    /** So many answers may wait to be written; more would fill the memory where nobody reads them. */
+    private static final int MOST_UNWRITTEN = 256;
+
     private enum Phase {
         OPEN,
         /** A mark is on its way behind which nothing is written. */
@@ -49,7 +52,6 @@
     private Transaction transaction;
     private boolean busy;
     private boolean asksToClose;
-    private long endingSince;
     /** Answers that have not left yet, and when that was last none or one did. */
     private int unwritten;
     private long wroteAt;
@@ -93,7 +95,7 @@
             return;
         }
         // What crosses the mark of an end lets the connection stay; it is taken then.
-        if (!busy && waiting.isEmpty() && phase == Phase.OPEN) {
+        if (mayBegin() && waiting.isEmpty()) {
             begin(message, at);
         } else if (!waiting.add(message, at)) {
             giveUp();
@@ -110,9 +112,14 @@
         turnAway(400, "too many requests at once");
     }
 
+    /** Nothing is taken while too many answers wait for the client to read the ones before. */
+    private boolean mayBegin() {
+        return phase == Phase.OPEN && !busy && unwritten < MOST_UNWRITTEN;
+    }
+
     /** The turn of the first that waits; nothing does any more if the connection has ended meanwhile. */
     private void next() {
-        var next = phase == Phase.OPEN && !busy ? waiting.next() : null;
+        var next = mayBegin() ? waiting.next() : null;
         if (next != null) {
             begin(next.message(), next.at());
         }
@@ -267,6 +274,7 @@
             unwritten--;
             wroteAt = server.loop.now();
             server.wrote(-1);
+            next();
         }
     }
 
@@ -288,9 +296,7 @@
 
     /** Guards the sockets against clients that do not read what is written to them. */
     void checkWriting() {
-        long now = server.loop.now();
-        if (phase == Phase.ENDING && now - endingSince > server.tuning.longestRequest()
-                || unwritten > 0 && now - wroteAt > LONGEST_WRITE) {
+        if (unwritten > 0 && server.loop.now() - wroteAt > LONGEST_WRITE) {
             session.closeNow();
         }
     }
@@ -322,7 +328,6 @@
 
     private void end(boolean lastAnswer) {
         phase = Phase.ENDING;
-        endingSince = server.loop.now();
         server.leaves(this);
         endsAfter = handedOver;
         hasLastAnswer = lastAnswer;
--- a/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
+++ b/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
@@ -228,6 +228,27 @@
         driven.until(server::isQuiet);
     }
 
+    /** Its answers filled the memory, as each request was taken at once. */
+    @Test
+    void aClientThatSendsOnAndReadsNothingIsEnded() throws Exception {
+        var client = client();
+        var writer = new Thread(() -> {
+            try {
+                while (true) {
+                    send(client, REQUEST.repeat(500));
+                }
+            } catch (IOException e) {
+                // It was ended.
+            }
+        });
+        writer.start();
+        driven.turnFor(1_000);
+        driven.pass(TUNING.linger() + 10_000);
+        driven.until(() -> !writer.isAlive());
+        driven.until(server::isQuiet);
+        assertTrue(server.pipelined.isWhole());
+    }
+
     /** Requests beyond what is kept are refused, in their order, and what is asked last is answered too. */
     @Test
     void oneThatSendsThousandsAtOnceIsAnsweredThousandsOfTimes() throws Exception {
