--- a/store/src/main/java/ryemast/store/DurableStore.java
+++ b/store/src/main/java/ryemast/store/DurableStore.java
@@ -106,9 +106,6 @@
     }
 
     private void reopen() throws StoreException {
-        if (unsynced) {
-            rewrite();
-        }
         MVStore opened;
         try {
             opened = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().cacheSize(CACHE_MB)
@@ -142,8 +139,8 @@
 
     /**
      * Guards what was promised against a sync that failed: the system may have dropped what it could not
-     * write, still show it to whoever reads, and say nothing at the next sync. So all that is read is written
-     * anew, to another file, which takes the place of this one once it is on the disk.
+     * write, still show it to whoever reads, and say nothing at the next sync. So before anything more is
+     * taken all is written anew, to another file, which takes the place of this one once it is on the disk.
      */
     private void rewrite() throws StoreException {
         var from = file.toString();
@@ -309,6 +306,10 @@
     private IOException commit(List<Step> writes) {
         long begin = System.nanoTime();
         try {
+            if (unsynced) {
+                store.closeImmediately();
+                rewrite();
+            }
             if (store.isClosed()) {
                 reopen();
             }
@@ -342,7 +343,7 @@
     /** Nothing waits: room that is taken up by little is freed. */
     private void rest() {
         try {
-            if (!store.isClosed()) {
+            if (!store.isClosed() && !unsynced) {
                 if (store.compact(FILL_PERCENT, MOVE_BYTES)) {
                     unsynced = true;
                     store.sync();
