Let a cancelled attempt end once its worker has answered, where no copies are allowed

Exchange.abandon told the module at once that the attempt had ended, and the DELETE went out on a connection that may first have to come up, while the next attempt went to a nearer worker (WorkerConnectionPool.giveUp). Ruled out: the site's own rule, as no copy is sent there (Brain.permits). Now Exchange.recall asks the worker, again each 0.25 s, and the attempt ends with its answer; the client's end and an answer end it at once as before. Where copies are allowed nothing changes.

--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -93,6 +93,9 @@
                 settings.limits().maxAttempts(), config.grace(), tuning.limits().namesRemembered()
                 + (tuning.batch() == null ? 0 : NAMES_FOR_EACH * tuning.batch().mostOut())
                 + (tuning.timetable() == null ? 0 : NAMES_FOR_EACH * Config.MOST_FIRES));
+        if (!settings.limits().secondCopies()) {
+            exchange.awaitRecalls();
+        }
         transport = new Transport();
         members = new Members(loop, exchange, new Membership(tuning.members()),
                 new StartTimes(clock::now, () -> System.currentTimeMillis() * Clock.MICROS_PER_MS));
--- a/batch/src/main/java/ryemast/batch/BatchFront.java
+++ b/batch/src/main/java/ryemast/batch/BatchFront.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import pipitladder.Dispatcher.ListKind;
@@ -225,6 +226,11 @@
         }
     }
 
+    @Override
+    public boolean recall(RoutedTask task, Consumer<Boolean> answered) {
+        return turns == null ? workers.recall(task, answered) : turns.recall(task, answered);
+    }
+
     /** Tells the pace how long jobs wait at their workers, and what clients were refused. */
     private final class Watch implements Observer {
         private final Map<Long, Seen> seen = new HashMap<>();
--- a/batch/src/main/java/ryemast/batch/Turns.java
+++ b/batch/src/main/java/ryemast/batch/Turns.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 import pipitladder.Dispatcher.Outcome;
 import ryemast.core.Exchange;
@@ -241,6 +242,11 @@
         }
     }
 
+    @Override
+    public boolean recall(RoutedTask task, Consumer<Boolean> answered) {
+        return !pending.contains(task) && workers.recall(task, answered);
+    }
+
     /** One pass of a job through the decision module. */
     private final class Turn implements Terminal {
         private final JobArray array;
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -41,6 +41,8 @@
     private static final Logger LOG = Logger.getLogger(Exchange.class.getName());
     /** So many names are remembered by default: at the busiest, those of a minute or more. */
     public static final int NAMES = 4096;
+    /** A worker that did not answer is asked again after so long, in microseconds. */
+    private static final long RECALL_AGAIN = 250_000;
 
     private final Loop loop;
     private final Dispatcher module;
@@ -62,6 +64,8 @@
     private final Map<String, WorkerState> listedWorkers = new HashMap<>();
     private List<Event> gathered = new ArrayList<>();
     private final List<Action> actions = new ArrayList<>();
+    /** Whether an attempt that its worker has taken goes on until the worker has dropped it. */
+    private boolean awaitsRecalls;
     private long lastNumber;
     private int open;
     /** No request may wait for longer than until then, as the program is about to end. */
@@ -107,6 +111,14 @@
         endBy = time;
     }
 
+    /**
+     * For a site that allows no second copies: an attempt that is cancelled ends only once its worker has
+     * answered that, or the way there would let the next attempt overtake the word of the first one's end.
+     */
+    public void awaitRecalls() {
+        awaitsRecalls = true;
+    }
+
     /** How many transactions still wait for their answer. */
     public int open() {
         return open;
@@ -430,7 +442,23 @@
 
     private void cancel(Transaction transaction, int number) {
         if (transaction != null && number >= 0 && number < transaction.tasks.size()) {
-            abandon(transaction.tasks.get(number), Outcome.CANCELLED);
+            var task = transaction.tasks.get(number);
+            if (!awaitsRecalls || transaction.answered || !task.recalled && !recall(task)) {
+                abandon(task, Outcome.CANCELLED);
+            }
+        }
+    }
+
+    private boolean recall(RoutedTask task) {
+        task.recalled = !task.ended() && region.recall(task, answered -> recalled(task, answered));
+        return task.recalled;
+    }
+
+    private void recalled(RoutedTask task, boolean answered) {
+        if (answered) {
+            conclude(task, Outcome.CANCELLED, null);
+        } else if (!task.ended()) {
+            loop.at(loop.now() + RECALL_AGAIN, () -> recall(task));
         }
     }
 
--- a/core/src/main/java/ryemast/core/RoutedTask.java
+++ b/core/src/main/java/ryemast/core/RoutedTask.java
@@ -18,6 +18,8 @@
     /** The end that the worker itself told, or null. */
     CallBack.State toldEnd;
     boolean toldOfStart;
+    /** Its worker is being asked to drop it, and the attempt goes on until it has answered. */
+    boolean recalled;
 
     RoutedTask(Transaction transaction, int number, String worker, long until, long beginBy) {
         this.transaction = transaction;
--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -595,7 +595,7 @@
             jobs.values().stream().filter(job -> !job.closed && job.outstanding > 0).map(Job::lastOut)
                     .filter(this::holdsForNothing).toList().forEach(this::cancel);
         }
-        jobs.values().stream().filter(job -> !job.closed && job.outstanding == 1)
+        jobs.values().stream().filter(Job::relies)
                 .map(Job::lastOut).filter(each -> each.lost || silence(each) > 0 || queuesUnseen(each))
                 .sorted((one, other) -> Long.compare(one.job.aimAt, other.job.aimAt)).toList()
                 .forEach(this::rescue);
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -431,6 +431,11 @@
             return attempts.stream().filter(attempt -> !attempt.ended).findFirst().orElseThrow();
         }
 
+        /** Whether it relies on one attempt alone, which we have not asked its worker to stop. */
+        boolean relies() {
+            return !closed && outstanding == 1 && !lastOut().cancelled;
+        }
+
         boolean mayHaveRun() {
             return firstRunAt() < Long.MAX_VALUE;
         }
--- a/firing/src/main/java/ryemast/firing/Firing.java
+++ b/firing/src/main/java/ryemast/firing/Firing.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -320,6 +321,11 @@
         workers.giveUp(task);
     }
 
+    @Override
+    public boolean recall(RoutedTask task, Consumer<Boolean> answered) {
+        return workers.recall(task, answered);
+    }
+
     /** One hand-in of a fire's job. */
     private final class Hand implements Terminal {
         private final Planned planned;
--- a/net/src/main/java/ryemast/net/worker/Call.java
+++ b/net/src/main/java/ryemast/net/worker/Call.java
@@ -1,5 +1,6 @@
 package ryemast.net.worker;
 
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 import org.apache.mina.core.future.WriteFuture;
@@ -10,7 +11,7 @@
 import ryemast.net.http.HttpHead;
 import ryemast.net.http.HttpMessage;
 
-/** One message to a worker; without a task it is a cancel, whose answer means nothing. */
+/** One message to a worker; without a task it is a cancel, whose answer says only that it has come. */
 final class Call {
 
     private static final Logger LOG = Logger.getLogger(Call.class.getName());
@@ -20,6 +21,8 @@
     private final Exchange exchange;
     private final RoutedTask task;
     private final long startedAt;
+    /** Who is told whether a cancel was answered; null for nobody. */
+    private final Consumer<Boolean> heard;
     private WriteFuture writing;
 
     /** {@code message}: made once, when it is written. */
@@ -28,6 +31,21 @@
         this.task = task;
         this.message = message;
         this.startedAt = startedAt;
+        heard = null;
+    }
+
+    /** A cancel; {@code heard} is told once whether it was answered, or is null. */
+    Call(HttpMessage cancel, Consumer<Boolean> heard, long startedAt) {
+        exchange = null;
+        task = null;
+        message = () -> cancel;
+        this.heard = heard;
+        this.startedAt = startedAt;
+    }
+
+    /** Whether its answer must not be mixed up with another one's. */
+    boolean mindsAnswers() {
+        return task != null || heard != null;
     }
 
     /** Whether it may still be written; see {@link Exchange#mayBegin}. */
@@ -74,11 +92,16 @@
             // a job that may have run would be sent again. Once its last byte is written, it may have run.
             boolean written = writing != null && writing.isWritten();
             exchange.ended(task, Outcomes.ofBreak(written));
+        } else if (heard != null) {
+            heard.accept(false);
         }
     }
 
     void answered(HttpHead head) {
         if (task == null) {
+            if (heard != null) {
+                heard.accept(true);
+            }
             return;
         }
         int status = head.status();
--- a/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.logging.Logger;
 import org.apache.mina.core.session.IoSession;
@@ -102,13 +103,26 @@
         if (carrier.call != null && carrier.call.carries(task)) {
             carrier.close();
         } else {
-            var head = HttpHead.request("DELETE", "/jobs/" + encoded(task.submission().txn()))
-                    .with("Host", Addresses.text(carrier.address));
-            var message = new HttpMessage(head, HttpMessage.EMPTY);
-            call(carrier.address, new Call(exchange, null, () -> message, loop.now()));
+            call(carrier.address, new Call(deletion(task, carrier.address), null, loop.now()));
         }
     }
 
+    @Override
+    public boolean recall(RoutedTask task, Consumer<Boolean> answered) {
+        var carrier = (WorkerConnection) task.carrier();
+        if (carrier == null || carrier.call != null && carrier.call.carries(task)) {
+            return false;
+        }
+        call(carrier.address, new Call(deletion(task, carrier.address), answered, loop.now()));
+        return true;
+    }
+
+    private static HttpMessage deletion(RoutedTask task, InetSocketAddress address) {
+        var head = HttpHead.request("DELETE", "/jobs/" + encoded(task.submission().txn()))
+                .with("Host", Addresses.text(address));
+        return new HttpMessage(head, HttpMessage.EMPTY);
+    }
+
     /** A name as a part of a path: the names are opaque, and one with a space would split the line. */
     static String encoded(String name) {
         var text = new StringBuilder();
@@ -122,7 +136,7 @@
 
     /** The connection that the call is on, or null if there was none to be had. */
     private WorkerConnection call(InetSocketAddress address, Call call) {
-        var kept = kept(address);
+        var kept = kept(address, call.mindsAnswers() ? LEAST_REST : 0);
         if (kept != null) {
             kept.carry(call);
             return kept;
@@ -146,7 +160,7 @@
     /**
      * The connection that was used last of those that may be used again, taken off; null if there is none.
      */
-    private WorkerConnection kept(InetSocketAddress address) {
+    private WorkerConnection kept(InetSocketAddress address, long leastRest) {
         var pooled = idle.get(address);
         if (pooled == null) {
             return null;
@@ -157,7 +171,7 @@
             if (rested > restLimit.limit()) {
                 return null;
             }
-            if (rested >= LEAST_REST) {
+            if (rested >= leastRest) {
                 each.remove();
                 if (pooled.isEmpty()) {
                     idle.remove(address);
--- /dev/null
+++ b/net/src/test/java/ryemast/net/worker/RecallTest.java
@@ -0,0 +1,183 @@
+package ryemast.net.worker;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import pipitladder.Dispatcher;
+import pipitladder.Dispatcher.Action;
+import pipitladder.Dispatcher.AttemptEnded;
+import pipitladder.Dispatcher.Cancel;
+import pipitladder.Dispatcher.Event;
+import pipitladder.Dispatcher.ListKind;
+import pipitladder.Dispatcher.Outcome;
+import pipitladder.Dispatcher.PeersTold;
+import pipitladder.Dispatcher.Request;
+import pipitladder.Dispatcher.Send;
+import pipitladder.Dispatcher.WorkerInfo;
+import pipitladder.Dispatcher.WorkerState;
+import ryemast.core.Exchange;
+import ryemast.core.Submission;
+import ryemast.core.Terminal;
+import ryemast.net.DrivenLoop;
+import ryemast.net.Transport;
+
+/**
+ * Where no second copies are allowed, an attempt ends only once its worker has answered that it is to be
+ * dropped.
+ */
+@Timeout(60)
+class RecallTest {
+
+    private static final long SECOND = 1_000_000;
+    private static final int PATIENCE_MS = 20_000;
+    private static final byte[] TAKEN = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n".getBytes(
+            StandardCharsets.US_ASCII);
+
+    private final DrivenLoop driven = new DrivenLoop();
+    private final List<Outcome> outcomes = new ArrayList<>();
+    private final Exchange exchange = new Exchange(driven.loop, new CancelWhenAsked(), 9, 9, 0);
+    private ServerSocket worker;
+
+    /** A module that sends each job at once, and takes the first one back when peers tell something. */
+    private final class CancelWhenAsked implements Dispatcher {
+        @Override
+        public void handle(long now, Event event, Consumer<? super Action> out) {
+            if (event instanceof Request request) {
+                out.accept(new Send(request.id(), "w", 0));
+            } else if (event instanceof PeersTold) {
+                out.accept(new Cancel(1, 0));
+            } else if (event instanceof AttemptEnded ended) {
+                outcomes.add(ended.outcome());
+            }
+        }
+    }
+
+    private static final class NoTerminal implements Terminal {
+        @Override
+        public void served(String result) { }
+
+        @Override
+        public void refused(long retryAfter) { }
+
+        @Override
+        public void failed() { }
+    }
+
+    @BeforeEach
+    void listen() throws IOException {
+        worker = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        worker.setSoTimeout(PATIENCE_MS);
+        var address = new InetSocketAddress(worker.getInetAddress(), worker.getLocalPort());
+        exchange.connect(new WorkerConnectionPool(driven.loop, exchange, new Transport(), id -> address,
+                SECOND, 5 * SECOND, 9, WorkerTuning.DEFAULT), () -> { });
+        exchange.listed(ListKind.COMPLETE, List.of(new WorkerInfo("w", WorkerState.READY, 0, 0, 0, 1, 0)));
+        exchange.submit(new Submission("t", 0, 0, 1, 0, 0, driven.loop.now() + 60 * SECOND, "/api/k",
+                new byte[0]), new NoTerminal());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        worker.close();
+    }
+
+    /** The worker's connection, once it has taken the job on it. */
+    private Socket taken() throws Exception {
+        driven.loop.turn();
+        var wire = worker.accept();
+        assertTrue(received(wire).startsWith("POST /api/k "));
+        wire.getOutputStream().write(TAKEN);
+        driven.turnFor(50);
+        driven.pass(WorkerConnectionPool.LEAST_REST);
+        return wire;
+    }
+
+    private String received(Socket wire) throws Exception {
+        var text = new StringBuilder();
+        driven.until(() -> {
+            text.append(new String(wire.getInputStream().readNBytes(wire.getInputStream().available()),
+                    StandardCharsets.US_ASCII));
+            return text.indexOf("\r\n\r\n") >= 0;
+        });
+        return text.toString();
+    }
+
+    private void cancel() {
+        exchange.told(new PeersTold(Map.of()));
+        driven.loop.turn();
+    }
+
+    /** Word of the end went out, and the next attempt at another worker could be there first. */
+    @Test
+    void theAttemptEndsOnceTheWorkerHasAnswered() throws Exception {
+        exchange.awaitRecalls();
+        try (var wire = taken()) {
+            cancel();
+            assertTrue(received(wire).startsWith("DELETE /jobs/t "));
+            cancel();
+            driven.turnFor(50);
+            assertEquals(List.of(), outcomes);
+            assertEquals(0, wire.getInputStream().available(), "it was asked twice");
+            wire.getOutputStream().write(TAKEN);
+            driven.until(() -> outcomes.equals(List.of(Outcome.CANCELLED)));
+        }
+    }
+
+    /**
+     * A worker that could not be asked may still have the job: it is asked again, and nothing ends before.
+     */
+    @Test
+    void aWorkerThatDidNotAnswerIsAskedAgain() throws Exception {
+        exchange.awaitRecalls();
+        var wire = taken();
+        cancel();
+        assertTrue(received(wire).startsWith("DELETE /jobs/t "));
+        wire.close();
+        driven.turnFor(50);
+        assertEquals(List.of(), outcomes);
+        driven.pass(SECOND);
+        driven.loop.turn();
+        try (var again = worker.accept()) {
+            assertTrue(received(again).startsWith("DELETE /jobs/t "));
+            again.getOutputStream().write(TAKEN);
+            driven.until(() -> outcomes.equals(List.of(Outcome.CANCELLED)));
+        }
+    }
+
+    @Test
+    void whereCopiesAreAllowedNothingIsWaitedFor() throws Exception {
+        try (var wire = taken()) {
+            cancel();
+            driven.loop.turn();
+            assertEquals(List.of(Outcome.CANCELLED), outcomes);
+            assertTrue(received(wire).startsWith("DELETE /jobs/t "));
+        }
+    }
+
+    /** Before its 202 the end of the connection says it all. */
+    @Test
+    void anAttemptThatWasNotTakenEndsWithItsConnection() throws Exception {
+        exchange.awaitRecalls();
+        driven.loop.turn();
+        try (var wire = worker.accept()) {
+            received(wire);
+            cancel();
+            driven.loop.turn();
+            assertEquals(List.of(Outcome.CANCELLED), outcomes);
+            driven.until(() -> wire.getInputStream().read() < 0);
+        }
+    }
+}
