--- a/net/src/main/java/ryemast/net/worker/Call.java
+++ b/net/src/main/java/ryemast/net/worker/Call.java
@@ -76,6 +76,11 @@
         return task == other;
     }
 
+    /** Whether any of it may have been written. */
+    boolean hasBegun() {
+        return writing != null;
+    }
+
     void goesOut(WriteFuture future) {
         writing = future;
     }
--- a/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -107,12 +107,21 @@
         }
     }
 
+    /**
+     * Before the worker has answered, the connection's end gives the attempt up, but nobody tells when it has
+     * come there: the answer to a message that was sent after it does.
+     */
     @Override
     public boolean recall(RoutedTask task, Consumer<Boolean> answered) {
         var carrier = (WorkerConnection) task.carrier();
-        if (carrier == null || carrier.call != null && carrier.call.carries(task)) {
+        boolean carries = carrier != null && carrier.call != null && carrier.call.carries(task);
+        if (carrier == null || carries && !carrier.call.hasBegun()) {
             return false;
         }
+        if (carries) {
+            carrier.call = null;
+            carrier.close();
+        }
         call(carrier.address, new Call(deletion(task, carrier.address), answered, loop.now()));
         return true;
     }
--- a/net/src/test/java/ryemast/net/worker/RecallTest.java
+++ b/net/src/test/java/ryemast/net/worker/RecallTest.java
@@ -167,17 +167,34 @@
         }
     }
 
-    /** Before its 202 the end of the connection says it all. */
+    /**
+     * The end of the connection gives it up, and the answer to a message behind it tells that it has come
+     * there.
+     */
     @Test
-    void anAttemptThatWasNotTakenEndsWithItsConnection() throws Exception {
+    void anAttemptThatWasNotAnsweredYetEndsWithTheAnswerToAMessageBehindItsConnectionsEnd() throws Exception {
         exchange.awaitRecalls();
         driven.loop.turn();
         try (var wire = worker.accept()) {
             received(wire);
             cancel();
-            driven.loop.turn();
-            assertEquals(List.of(Outcome.CANCELLED), outcomes);
-            driven.until(() -> wire.getInputStream().read() < 0);
+            try (var next = worker.accept()) {
+                assertTrue(received(next).startsWith("DELETE /jobs/t "));
+                assertTrue(wire.getInputStream().read() < 0);
+                assertEquals(List.of(), outcomes);
+                next.getOutputStream().write(TAKEN);
+                driven.until(() -> outcomes.equals(List.of(Outcome.CANCELLED)));
+            }
         }
     }
+
+    /** Nothing was written: there is nobody to ask. */
+    @Test
+    void anAttemptWhoseConnectionIsNotUpEndsAtOnce() {
+        exchange.awaitRecalls();
+        driven.loop.turn();
+        cancel();
+        driven.loop.turn();
+        assertEquals(List.of(Outcome.CANCELLED), outcomes);
+    }
 }
