Log why attempts go out again, how calls for the list went, and counts every 10 s

Each failed watch now says how long it was open, since when discovery was silent and which list holds; each list says who drains and who is gone; each further attempt and each unserved job that was forwarded says its id, workers and outcomes; a connection that ends under a request says how much of it was written; every 10 s attempts and answers are counted by kind.

--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -9,6 +9,7 @@
 import ryemast.config.ConfigException;
 import ryemast.config.Tuning;
 import ryemast.consul.ConsulTable;
+import ryemast.core.AttemptCounts;
 import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
@@ -93,6 +94,7 @@
                 settings.limits().maxAttempts(), config.grace(), tuning.limits().namesRemembered()
                 + (tuning.batch() == null ? 0 : NAMES_FOR_EACH * tuning.batch().mostOut())
                 + (tuning.timetable() == null ? 0 : NAMES_FOR_EACH * Config.MOST_FIRES));
+        exchange.observe(new AttemptCounts(loop));
         if (!settings.limits().secondCopies()) {
             exchange.awaitRecalls();
         }
--- a/app/src/test/c/faults.c
+++ b/app/src/test/c/faults.c
@@ -2,33 +2,50 @@
  * Faults of the system for tests, preloaded into the program under test (LD_PRELOAD); never part of what is shipped.
  *
  * The file that FAULTS_FILE names is mapped and read at each call, so that a test can change it while the program
- * runs: how far the wall clock is off, and how many of the next calls of accept and connect fail, and with which
- * errno. The counts go down as calls fail. See FaultsIT.
+ * runs: how far the wall clock is off, and a fault for each kind of call (see enum kind; Faults.java has the same
+ * order). A fault strikes the next `left` calls, and one call in `one_in` besides. It returns `error`, or, where that
+ * is 0, lets the call go through and holds it up for `pause_ms` before and after; SHORT moves one byte only.
+ * Reads and writes are those of sockets; LOG is what is written to standard error.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdatomic.h>
+#include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <sys/epoll.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/time.h>
+#include <sys/uio.h>
 #include <time.h>
 #include <unistd.h>
 
+enum kind { ACCEPT, CONNECT, READ, WRITE, WATCH, SOCKET, OPTION, LOG, KINDS };
+
+enum { SHORT = -1 };
+
+struct fault {
+    _Atomic int32_t error;
+    _Atomic int32_t left;
+    _Atomic int32_t one_in;
+    _Atomic int32_t pause_ms;
+};
+
 struct control {
     _Atomic int64_t wall_seconds;
-    _Atomic int32_t accept_errno;
-    _Atomic int32_t accept_fails;
-    _Atomic int32_t connect_errno;
-    _Atomic int32_t connect_fails;
+    _Atomic uint64_t seed;
+    struct fault faults[KINDS];
 };
 
 static struct control none;
 static struct control *control = &none;
 
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
 __attribute__((constructor)) static void begin(void)
 {
     const char *path = getenv("FAULTS_FILE");
@@ -43,44 +60,142 @@
     close(file);
 }
 
-/* Takes one of the failures that are left; the errno, or 0 for none. */
-static int fails(_Atomic int32_t *left, _Atomic int32_t *why)
+/* A number from the seed that the test chose (splitmix64). */
+static uint64_t drawn(void)
+{
+    uint64_t z = atomic_fetch_add(&control->seed, 0x9e3779b97f4a7c15ull);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ull;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebull;
+    return z ^ (z >> 31);
+}
+
+static int takes_one(struct fault *fault)
 {
-    int32_t now = atomic_load(left);
+    int32_t now = atomic_load(&fault->left);
     while (now > 0) {
-        if (atomic_compare_exchange_weak(left, &now, now - 1)) {
-            return atomic_load(why);
+        if (atomic_compare_exchange_weak(&fault->left, &now, now - 1)) {
+            return 1;
         }
     }
     return 0;
 }
 
-int accept(int fd, struct sockaddr *address, socklen_t *length)
+/* The fault that strikes this call, or null. */
+static struct fault *strikes(enum kind kind)
 {
-    static int (*real)(int, struct sockaddr *, socklen_t *);
-    if (!real) {
-        real = dlsym(RTLD_NEXT, "accept");
+    struct fault *fault = &control->faults[kind];
+    int32_t one_in = atomic_load(&fault->one_in);
+    if (takes_one(fault) || (one_in > 0 && drawn() % (uint32_t)one_in == 0)) {
+        return fault;
+    }
+    return NULL;
+}
+
+static void pause_for(struct fault *fault)
+{
+    int32_t millis = fault ? atomic_load(&fault->pause_ms) : 0;
+    struct timespec left = {millis / 1000, millis % 1000 * 1000000L};
+    int before = errno;
+    while (millis > 0 && nanosleep(&left, &left) != 0 && errno == EINTR) {
     }
-    int why = fails(&control->accept_fails, &control->accept_errno);
-    if (why) {
-        errno = why;
+    errno = before;
+}
+
+static int fails(struct fault *fault)
+{
+    int error = fault ? atomic_load(&fault->error) : 0;
+    if (error > 0) {
+        errno = error;
+    }
+    return error > 0;
+}
+
+static int is_short(struct fault *fault)
+{
+    return fault && atomic_load(&fault->error) == SHORT;
+}
+
+static int is_socket(int fd)
+{
+    struct stat about;
+    int before = errno;
+    int found = fstat(fd, &about) == 0 && S_ISSOCK(about.st_mode);
+    errno = before;
+    return found;
+}
+
+int accept(int fd, struct sockaddr *address, socklen_t *length)
+{
+    struct fault *fault = strikes(ACCEPT);
+    if (fails(fault)) {
         return -1;
     }
-    return real(fd, address, length);
+    pause_for(fault);
+    return REAL(accept)(fd, address, length);
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t length)
 {
-    static int (*real)(int, const struct sockaddr *, socklen_t);
-    if (!real) {
-        real = dlsym(RTLD_NEXT, "connect");
+    struct fault *fault = address->sa_family == AF_UNIX ? NULL : strikes(CONNECT);
+    if (fails(fault)) {
+        return -1;
     }
-    int why = address->sa_family == AF_UNIX ? 0 : fails(&control->connect_fails, &control->connect_errno);
-    if (why) {
-        errno = why;
+    pause_for(fault);
+    return REAL(connect)(fd, address, length);
+}
+
+int socket(int domain, int type, int protocol)
+{
+    struct fault *fault = domain == AF_UNIX ? NULL : strikes(SOCKET);
+    return fails(fault) ? -1 : REAL(socket)(domain, type, protocol);
+}
+
+int setsockopt(int fd, int level, int name, const void *value, socklen_t length)
+{
+    struct fault *fault = strikes(OPTION);
+    return fails(fault) ? -1 : REAL(setsockopt)(fd, level, name, value, length);
+}
+
+int epoll_ctl(int set, int what, int fd, struct epoll_event *event)
+{
+    struct fault *fault = what == EPOLL_CTL_DEL ? NULL : strikes(WATCH);
+    return fails(fault) ? -1 : REAL(epoll_ctl)(set, what, fd, event);
+}
+
+ssize_t read(int fd, void *bytes, size_t count)
+{
+    struct fault *fault = is_socket(fd) ? strikes(READ) : NULL;
+    if (fails(fault)) {
+        return -1;
+    }
+    pause_for(fault);
+    return REAL(read)(fd, bytes, is_short(fault) && count > 1 ? 1 : count);
+}
+
+static struct fault *write_fault(int fd)
+{
+    return fd == STDERR_FILENO ? strikes(LOG) : is_socket(fd) ? strikes(WRITE) : NULL;
+}
+
+ssize_t write(int fd, const void *bytes, size_t count)
+{
+    struct fault *fault = write_fault(fd);
+    if (fails(fault)) {
+        return -1;
+    }
+    pause_for(fault);
+    ssize_t written = REAL(write)(fd, bytes, is_short(fault) && count > 1 ? 1 : count);
+    pause_for(fault);
+    return written;
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count)
+{
+    struct fault *fault = write_fault(fd);
+    if (fails(fault)) {
         return -1;
     }
-    return real(fd, address, length);
+    return REAL(writev)(fd, parts, count);
 }
 
 int clock_gettime(clockid_t clock, struct timespec *at)
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -335,10 +335,19 @@
     private void answer(Transaction transaction, Observer.Answer what, long retryAfter,
             Consumer<Terminal> answer) {
         told(transaction, what, retryAfter);
+        logUnserved(transaction, what);
         finish(transaction);
         Loop.guarded("an answer", () -> answer.accept(transaction.terminal));
     }
 
+    /** Those that were never forwarded are counted by cause alone: they are many where room is short. */
+    private static void logUnserved(Transaction transaction, Observer.Answer what) {
+        if (what != Observer.Answer.SERVED && !transaction.tasks.isEmpty() && LOG.isLoggable(Level.INFO)) {
+            Note.info(LOG, "{txn}: {answer} after attempts {attempts}", "txn", transaction.submission.txn(),
+                    "answer", what, "attempts", transaction.attempts());
+        }
+    }
+
     private void told(Transaction transaction, Observer.Answer what, long retryAfter) {
         if (observer != null) {
             observer.answered(transaction.number, what, retryAfter, loop.now());
@@ -426,6 +435,7 @@
         long until = send.timeOut() > 0 ? Math.min(deadline, loop.now() + send.timeOut()) : deadline;
         var task = new RoutedTask(transaction, transaction.tasks.size(), send.worker(), until,
                 send.beginBy());
+        logFurtherAttempt(transaction, task);
         transaction.tasks.add(task);
         if (observer != null) {
             observer.sent(transaction.number, task.number, task.worker, until, loop.now());
@@ -440,6 +450,15 @@
         }
     }
 
+    /** Why a job goes out again: how its attempts before ended, or that they are still out. */
+    private static void logFurtherAttempt(Transaction transaction, RoutedTask next) {
+        if (next.number > 0 && LOG.isLoggable(Level.INFO)) {
+            Note.info(LOG, "{txn}: attempt {attempt} goes to {worker}; before: {attempts}",
+                    "txn", transaction.submission.txn(), "attempt", next.number, "worker", next.worker,
+                    "attempts", transaction.attempts());
+        }
+    }
+
     private void cancel(Transaction transaction, int number) {
         if (transaction != null && number >= 0 && number < transaction.tasks.size()) {
             var task = transaction.tasks.get(number);
--- a/core/src/main/java/ryemast/core/RoutedTask.java
+++ b/core/src/main/java/ryemast/core/RoutedTask.java
@@ -69,6 +69,13 @@
         outcome = how;
     }
 
+    /** Its worker and what became of it, for the log. */
+    String described() {
+        var state = outcome != null ? outcome.name() : toldOfStart ? "started"
+                : accepted ? "accepted" : "sent";
+        return worker + " " + state;
+    }
+
     /** Whether the worker may still tell of an end: it may have the job, and was not waited for. */
     boolean owesWord() {
         return toldEnd == null && (outcome == Outcome.TIMED_OUT || outcome == Outcome.CANCELLED
--- a/core/src/main/java/ryemast/core/Transaction.java
+++ b/core/src/main/java/ryemast/core/Transaction.java
@@ -19,6 +19,11 @@
         this.terminal = terminal;
     }
 
+    /** Each attempt's worker and outcome, in their order, for the log. */
+    List<String> attempts() {
+        return tasks.stream().map(RoutedTask::described).toList();
+    }
+
     boolean over() {
         return answered && tasks.stream().allMatch(RoutedTask::ended);
     }
--- a/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
+++ b/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
@@ -5,6 +5,7 @@
 import java.util.logging.Logger;
 import org.apache.mina.core.session.IoSession;
 import pipitladder.Dispatcher.ListKind;
+import pipitladder.Dispatcher.WorkerState;
 import ryemast.core.Clock;
 import ryemast.core.Loop;
 import ryemast.core.Members;
@@ -44,6 +45,8 @@
     private InetSocketAddress discovery;
     private long version;
     private Watch watch;
+    /** When discovery was last heard: a byte of a list, or of the line that says that nothing has changed. */
+    private long heardAt;
     /** How many calls were made in haste since something was heard. */
     private int hasty;
 
@@ -54,6 +57,7 @@
         this.discovery = discovery;
         this.reader = reader;
         this.tuning = tuning;
+        heardAt = loop.now();
         dialer = new Dialer(loop, transport.connector(HttpCodec.stream(), new LinkHandler(loop)),
                 tuning.connectLimitMs() * Clock.MICROS_PER_MS);
     }
@@ -106,17 +110,30 @@
 
     private void follow(ListUpdate update, ListKind kind) {
         version = update.version();
+        log(update, kind);
         members.discovered(kind, version,
                 update.entries().stream().map(ListUpdate.Entry::sighting).toList());
     }
 
+    private static void log(ListUpdate update, ListKind kind) {
+        if (kind != ListKind.CACHED) {
+            Note.info(LOG, "list {version}, {kind}: {ready} ready, draining {draining}, gone {gone}",
+                    "version", update.version(), "kind", kind,
+                    "ready", update.ids(WorkerState.READY).size(),
+                    "draining", update.ids(WorkerState.DRAINING), "gone", update.ids(WorkerState.GONE));
+        }
+    }
+
     /** One call to discovery, from its connecting to its end; one that is replaced is not heard any more. */
     private final class Watch implements Link {
         private final Frames frames = new Frames(tuning.longestLine());
         private IoSession session;
         private Runnable alarm = () -> { };
+        private long openedAt;
+        private boolean heard;
 
         void open(long patience) {
+            openedAt = loop.now();
             await(patience);
             dialer.dial(discovery, this, up -> {
                 session = up;
@@ -152,10 +169,16 @@
         }
 
         private void warn(String why) {
-            Note.warning(LOG, "the watch on the service table failed: {why}", "why", why,
+            Note.warning(LOG, "the watch on the service table failed: {why}; opened {open_ms} ms ago,"
+                    + " discovery last heard {silent_ms} ms ago, list {version}", "why", why,
+                    "open_ms", millisSince(openedAt), "silent_ms", millisSince(heardAt), "version", version,
                     "address", Addresses.text(discovery));
         }
 
+        private long millisSince(long time) {
+            return (loop.now() - time) / Clock.MICROS_PER_MS;
+        }
+
         private void await(long patience) {
             alarm.run();
             alarm = loop.at(loop.now() + patience, this::silent);
@@ -194,11 +217,22 @@
                 fail("it ended");
             } else if (part instanceof byte[] bytes) {
                 hasty = 0;
+                noteFirstWord();
+                heardAt = loop.now();
                 await(tuning.silence());
                 take(bytes);
             }
         }
 
+        private void noteFirstWord() {
+            if (!heard) {
+                heard = true;
+                Note.info(LOG, "the watch on the service table is open: first word after {open_ms} ms,"
+                        + " {silent_ms} ms after the last one of discovery",
+                        "open_ms", millisSince(openedAt), "silent_ms", millisSince(heardAt));
+            }
+        }
+
         private void take(byte[] bytes) {
             try {
                 for (byte each : bytes) {
--- a/net/src/main/java/ryemast/net/discovery/ListUpdate.java
+++ b/net/src/main/java/ryemast/net/discovery/ListUpdate.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import pipitladder.Dispatcher.WorkerInfo;
+import pipitladder.Dispatcher.WorkerState;
 import ryemast.membership.Condition;
 import ryemast.membership.Sighting;
 import ryemast.net.Addresses;
@@ -10,6 +11,12 @@
 /** What the service table says at one time: all of its entries, or those that changed. */
 public record ListUpdate(long version, boolean full, List<Entry> entries) {
 
+    /** The workers that it says are in this state. */
+    List<String> ids(WorkerState state) {
+        return entries.stream().map(Entry::worker).filter(worker -> worker.state() == state)
+                .map(WorkerInfo::id).toList();
+    }
+
     /** {@code address} may be null for a worker that is gone. */
     public record Entry(WorkerInfo worker, InetSocketAddress address) {
 
--- a/net/src/main/java/ryemast/net/worker/Call.java
+++ b/net/src/main/java/ryemast/net/worker/Call.java
@@ -96,6 +96,11 @@
             // Asked here and now: word of the write that came over the loop could come behind the break, and
             // a job that may have run would be sent again. Once its last byte is written, it may have run.
             boolean written = writing != null && writing.isWritten();
+            if (!task.ended()) {
+                Note.info(LOG, "{txn}: the connection to {worker} ended without an answer; {written}",
+                        "txn", txn(), "worker", worker(), "written", !hasBegun() ? "nothing was written"
+                        : written ? "the request was written" : "the request was not written whole");
+            }
             exchange.ended(task, Outcomes.ofBreak(written));
         } else if (heard != null) {
             heard.accept(false);
