Add failing tests for requests at draining workers while discovery answers nobody

Real processes on loopback: discovery drops every call after 3 s, a worker drains and turns away. Before any fix all four fail: requests reach the draining worker 664 to 2584 ms after the change counts as notified for a process that started after the drain, 932 to 2827 ms after a watch fell silent, 824 to 2704 ms after SIGHUP, and every 15 ms from 558 ms on where no worker takes jobs; 550 ms are allowed.

--- /dev/null
+++ b/app/src/test/java/ryemast/it/UnheardListIT.java
@@ -0,0 +1,202 @@
+package ryemast.it;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static ryemast.it.Platform.until;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Requests at draining workers while discovery has too many callers and answers nobody: a change counts as
+ * notified 6 s after it was made (4 s after SIGHUP), heard or not, and no request may begin 0.55 s later.
+ */
+@Timeout(60)
+class UnheardListIT {
+
+    private static final long NOTIFIED_MS = 6_000;
+    private static final long NOTIFIED_AFTER_SIGHUP_MS = 4_000;
+    private static final long GRACE_MS = 550;
+    /** So long discovery lets a call wait before it drops it. */
+    private static final long PATIENCE_MS = 3_000;
+    private static final long RUN_MS = 200;
+    private static final int CLIENTS = 8;
+
+    private static void crowded(Wire wire, Wire.Message message) throws Exception {
+        Thread.sleep(PATIENCE_MS);
+        wire.send("HTTP/1.1 503 Service Unavailable", "", "");
+    }
+
+    /** When requests came to a worker, in nanoseconds. */
+    private static final class Arrivals {
+        private final Queue<Long> times = new ConcurrentLinkedQueue<>();
+
+        private void drains(Peer worker) {
+            worker.script = (wire, message) -> {
+                if (message.start().startsWith("POST")) {
+                    times.add(System.nanoTime());
+                    wire.send("HTTP/1.1 503 Service Unavailable", "X-Turned-Away: 1\r\n", "");
+                } else {
+                    wire.send("HTTP/1.1 200 OK", "", "");
+                }
+            };
+        }
+
+        private List<Long> millisAfter(long notifiedAt) {
+            return times.stream().map(each -> TimeUnit.NANOSECONDS.toMillis(each - notifiedAt))
+                    .filter(each -> each > GRACE_MS).toList();
+        }
+    }
+
+    private static void serves(Platform platform, Peer worker) {
+        worker.script = (wire, message) -> {
+            wire.send("HTTP/1.1 202 Accepted", "", "");
+            if (message.start().startsWith("POST")) {
+                new Thread(() -> run(platform, worker, message.headers().get("x-txn"))).start();
+            }
+        };
+    }
+
+    private static void run(Platform platform, Peer worker, String txn) {
+        try {
+            platform.callBack(txn, worker, "started", "");
+            Thread.sleep(RUN_MS);
+            platform.callBack(txn, worker, "done", ",\"result\":\"x\"");
+        } catch (IOException | InterruptedException e) {
+            // The program under test was ended.
+        }
+    }
+
+    /** Clients that send one job after the other until closed. */
+    private static final class Load implements Closeable {
+        private final Queue<String> statuses = new ConcurrentLinkedQueue<>();
+        private final List<Thread> threads = new ArrayList<>();
+        private volatile boolean over;
+
+        Load(Platform platform) {
+            for (int i = 0; i < CLIENTS; i++) {
+                var thread = new Thread(() -> send(platform));
+                thread.start();
+                threads.add(thread);
+            }
+        }
+
+        private void send(Platform platform) {
+            while (!over) {
+                try (var client = platform.client()) {
+                    platform.job(client, "load", 5_000);
+                    var answer = client.read();
+                    statuses.add(answer == null ? "none" : answer.status());
+                    Thread.sleep(20);
+                } catch (IOException | InterruptedException e) {
+                    statuses.add(e.toString());
+                }
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            over = true;
+            for (var each : threads) {
+                try {
+                    each.join();
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+        }
+    }
+
+    private static void sleepUntil(long nanos) throws InterruptedException {
+        TimeUnit.NANOSECONDS.sleep(Math.max(0, nanos - System.nanoTime()));
+    }
+
+    private static long after(long nanos, long millis) {
+        return nanos + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    @Tag("known-red")
+    @Test
+    void aProcessThatStartedAfterTheDrainSendsNothingThereOnceItCountsAsNotified() throws Exception {
+        try (var platform = Platform.ofForty()) {
+            var arrivals = new Arrivals();
+            platform.discovery.script = UnheardListIT::crowded;
+            arrivals.drains(platform.one);
+            serves(platform, platform.two);
+            long notifiedAt = after(System.nanoTime(), NOTIFIED_MS);
+            Thread.sleep(2_500);
+            platform.restart();
+            try (var load = new Load(platform)) {
+                sleepUntil(after(notifiedAt, 3_500));
+                assertTrue(load.statuses.contains("200"), load.statuses::toString);
+            }
+            assertEquals(List.of(), arrivals.millisAfter(notifiedAt));
+        }
+    }
+
+    @Tag("known-red")
+    @Test
+    void whereEveryWorkerMayDrainRequestsAreRefused() throws Exception {
+        try (var platform = Platform.ofForty()) {
+            var arrivals = new Arrivals();
+            platform.discovery.script = UnheardListIT::crowded;
+            arrivals.drains(platform.one);
+            arrivals.drains(platform.two);
+            long notifiedAt = after(System.nanoTime(), NOTIFIED_MS);
+            Thread.sleep(2_500);
+            platform.restart();
+            try (var load = new Load(platform)) {
+                sleepUntil(after(notifiedAt, 2_500));
+                load.statuses.clear();
+                until(() -> load.statuses.contains("503"));
+            }
+            assertEquals(List.of(), arrivals.millisAfter(notifiedAt));
+        }
+    }
+
+    @Tag("known-red")
+    @Test
+    void aWatchThatFellSilentAndCallsThatFailHideNoDrain() throws Exception {
+        try (var platform = Platform.ofForty()) {
+            var arrivals = new Arrivals();
+            serves(platform, platform.one);
+            serves(platform, platform.two);
+            try (var load = new Load(platform)) {
+                until(() -> load.statuses.size() > 50);
+                platform.discovery.script = UnheardListIT::crowded;
+                platform.muteTable();
+                long notifiedAt = after(System.nanoTime(), NOTIFIED_MS);
+                Thread.sleep(1_000);
+                arrivals.drains(platform.one);
+                sleepUntil(after(notifiedAt, 3_500));
+                assertEquals(List.of(), arrivals.millisAfter(notifiedAt));
+            }
+        }
+    }
+
+    @Tag("known-red")
+    @Test
+    void aDiscoveryThatWasMovedToAndAnswersNobodyHidesNoDrain() throws Exception {
+        try (var platform = Platform.ofForty(); var elsewhere = new Peer(UnheardListIT::crowded)) {
+            var arrivals = new Arrivals();
+            serves(platform, platform.one);
+            serves(platform, platform.two);
+            try (var load = new Load(platform)) {
+                until(() -> load.statuses.size() > 50);
+                arrivals.drains(platform.one);
+                platform.reload(platform.configWith(elsewhere));
+                long notifiedAt = after(System.nanoTime(), NOTIFIED_AFTER_SIGHUP_MS);
+                sleepUntil(after(notifiedAt, 3_500));
+                assertEquals(List.of(), arrivals.millisAfter(notifiedAt));
+            }
+        }
+    }
+}
