Send nothing to workers that may drain unheard, dated from discovery's last word

Cause, a staleness limit dated from the wrong event and used as a preference: Health.review restricted sends 6 s after ListCalls.blindSince, which was the process's start or the failed call, not discovery's last word. n53 started at 15.4 s with a list of 4 s, so its restriction would have begun at 21.9 s; version 3 (14.6 s) counted as notified at 20.6 s. A silent watch was dated 6 s late as well, a moved discovery never counted. And Brain.draw and Brain.best fell back to all ready workers where none satisfied it. An operator's drain counted as word of discovery.

Fix: ListAge keeps discovery's last word (DiscoveryWatch tells it when a watch is lost or moved, Members when a process starts); Brain.permits, the hard rule, asks it, and Send.beginBy bounds connections that come up late. A worker proves itself by a job sent after the loss that it took.

Ruled out: lists applied late (no version came), attempts chosen before the notice (mayBegin asks the list as it writes). HealthTest and ListCallsTest each had a test of the replaced dating; ListAgeTest and UnheardListTest ask for more in their place.

--- a/app/src/test/java/ryemast/it/UnheardListIT.java
+++ b/app/src/test/java/ryemast/it/UnheardListIT.java
@@ -11,7 +11,6 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -123,7 +122,6 @@
         return nanos + TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
-    @Tag("known-red")
     @Test
     void aProcessThatStartedAfterTheDrainSendsNothingThereOnceItCountsAsNotified() throws Exception {
         try (var platform = Platform.ofForty()) {
@@ -142,7 +140,6 @@
         }
     }
 
-    @Tag("known-red")
     @Test
     void whereEveryWorkerMayDrainRequestsAreRefused() throws Exception {
         try (var platform = Platform.ofForty()) {
@@ -162,7 +159,6 @@
         }
     }
 
-    @Tag("known-red")
     @Test
     void aWatchThatFellSilentAndCallsThatFailHideNoDrain() throws Exception {
         try (var platform = Platform.ofForty()) {
@@ -182,7 +178,6 @@
         }
     }
 
-    @Tag("known-red")
     @Test
     void aDiscoveryThatWasMovedToAndAnswersNobodyHidesNoDrain() throws Exception {
         try (var platform = Platform.ofForty(); var elsewhere = new Peer(UnheardListIT::crowded)) {
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -16,6 +16,7 @@
 import pipitladder.Dispatcher.AttemptStarted;
 import pipitladder.Dispatcher.Cancel;
 import pipitladder.Dispatcher.ClientGone;
+import pipitladder.Dispatcher.DiscoveryLost;
 import pipitladder.Dispatcher.Event;
 import pipitladder.Dispatcher.Fail;
 import pipitladder.Dispatcher.ListKind;
@@ -292,6 +293,11 @@
         gathered.add(new WorkerList(kind, workers));
     }
 
+    /** Discovery is not listened to any more; the module hears of it before its next round. */
+    void discoveryLost(long heardAt) {
+        gathered.add(new DiscoveryLost(heardAt));
+    }
+
     /** Nothing need be known of these workers any more: they have been gone for long. */
     void forgotten(List<String> workers) {
         listedWorkers.keySet().removeAll(workers);
--- a/core/src/main/java/ryemast/core/Members.java
+++ b/core/src/main/java/ryemast/core/Members.java
@@ -9,6 +9,7 @@
 import pipitladder.Dispatcher.WorkerInfo;
 import pipitladder.Dispatcher.WorkerState;
 import ryemast.membership.Change;
+import ryemast.membership.ListAge;
 import ryemast.membership.Listing;
 import ryemast.membership.Member;
 import ryemast.membership.Membership;
@@ -61,9 +62,17 @@
         } else {
             exchange.listed(kind, infos(change));
         }
+        if (kind == ListKind.CACHED) {
+            discoveryLost(loop.now() + ListAge.FIRST_LIST - ListAge.NOTIFIED_AFTER);
+        }
         finish(change);
     }
 
+    /** The platform's discovery is not listened to any more; its last word came at {@code heardAt}. */
+    public void discoveryLost(long heardAt) {
+        exchange.discoveryLost(heardAt);
+    }
+
     /** The platform's discovery could not be asked, or its watch has ended. */
     public void discoveryFailed() {
         membership.failed(loop.now(), DISCOVERY);
@@ -139,7 +148,7 @@
         var change = membership.settle(loop.now());
         var infos = infos(change);
         if (!infos.isEmpty()) {
-            exchange.listed(ListKind.CHANGES, infos);
+            exchange.listed(ListKind.AMENDED, infos);
         }
         finish(change);
     }
--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -61,7 +61,7 @@
     private final Reach reach;
     private double topAppeal;
     private long draws;
-    private final ListCalls listCalls;
+    private final Discovered discovered;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<Integer, Worker> byCode = new LinkedHashMap<>();
     private final Map<Long, Job> jobs = new LinkedHashMap<>();
@@ -88,8 +88,8 @@
         period = Math.max(2 * settings.resolution(), aim / 40);
         rates = new Rates(settings);
         var rules = settings.rules();
-        listCalls = new ListCalls(settings.self(), settings.dispatchers(), rules.askEvery(),
-                settings.listPushed(), random);
+        discovered = new Discovered(new ListCalls(settings.self(), settings.dispatchers(), rules.askEvery(),
+                settings.listPushed(), random), settings.listPushed());
         cold = new ColdBudget(settings.self(), settings.dispatchers(), rules.coldFor(), rules.coldCapacity(),
                 rules.coldMultiple(), rules.coldWindow(), rates.knowsCapacity());
         health = new Health(settings.startsReported(), settings.progressInterval(), period,
@@ -135,6 +135,8 @@
             Optional.ofNullable(armed.remove(timer.name())).ifPresent(this::ring);
         } else if (event instanceof WorkerList list) {
             follow(list);
+        } else if (event instanceof DiscoveryLost lost) {
+            discovered.age().lost(lost.heardAt(), now);
         } else if (event instanceof ClientGone gone) {
             close(jobs.get(gone.request()));
         } else if (event instanceof ProbeEnded probe && probe.healthy()) {
@@ -242,7 +244,7 @@
                 && job.attempts.size() < settings.limits().maxAttempts() && !job.mayStillBeAt(worker)
                 && (job.outstanding == 0 || settings.limits().secondCopies() && job.outstanding == 1)
                 && (harmless(job) || keyRemembered(job) && job.keyReaches(worker.info))
-                && coldAllows(job, worker);
+                && discovered.age().permits(worker.health.provenAt(), now) && coldAllows(job, worker);
     }
 
     /** Guards against an effect that happens twice: an earlier attempt may have run, or still run. */
@@ -282,7 +284,8 @@
             health.purse().repeat(now);
         }
         worker.sent(now, Math.max(job.work, jobWork.mean), settings.rules().coldWindow());
-        var attempt = worker.take(new Attempt(job, worker, now, now + (long) (worker.queueing * SECOND)));
+        var attempt = worker.take(new Attempt(job, worker, now, now + (long) (worker.queueing * SECOND),
+                discovered.age().usableUntil(worker.health.provenAt())));
         out.accept(new Send(job.request.id(), worker.id, 0, attempt.beginBy));
         tellPeers(job, worker);
         arm("sweep", sweepEvery, this::sweep);
@@ -311,6 +314,7 @@
         health.review(now);
         reach.review(now);
         rates.warm(reach.listed().filter(worker -> warmth(worker) >= 1));
+        discovered.news(now).ifPresent(line -> out.accept(new Log(line)));
         round.forEach(this::place);
         health.news(now).forEach(line -> out.accept(new Log(line)));
     }
@@ -494,7 +498,8 @@
                 send(job, beside);
             }
         } else if (best != null || over) {
-            giveUp(job, best == null ? Cause.NO_BOX : job.overShare ? Cause.OVER_SHARE
+            giveUp(job, best == null ? discovered.age().isOutdated(now) ? Cause.OUTDATED_LIST : Cause.NO_BOX
+                    : job.overShare ? Cause.OVER_SHARE
                     : best.shown > 2 * best.queueing ? Cause.SILENT : Cause.BUSY);
         } else {
             gather(job);
@@ -666,13 +671,9 @@
     }
 
     private void follow(WorkerList list) {
-        if (list.kind() == ListKind.FAILED) {
-            ask(listCalls.failed(now));
-        } else {
-            listCalls.heard();
-            if (list.kind() == ListKind.CACHED && !settings.listPushed()) {
-                ask(listCalls.first(now));
-            }
+        long wait = discovered.follow(list.kind(), now);
+        if (wait != Discovered.NO_CALL) {
+            arm("ask", wait, () -> out.accept(new Subscribe()));
         }
         if (list.kind() == ListKind.COMPLETE || list.kind() == ListKind.CACHED) {
             workers.values().forEach(Worker::unlist);
@@ -681,10 +682,6 @@
         regroup();
     }
 
-    private void ask(long wait) {
-        arm("ask", wait, () -> out.accept(new Subscribe()));
-    }
-
     private void forget(WorkerInfo info) {
         if (workers.containsKey(info.id()) && workers.get(info.id()).isOver()) {
             byCode.values().remove(workers.remove(info.id()));
@@ -695,7 +692,7 @@
     /** Each dispatcher has an order of its own, so that few of them share a worker's connections. */
     private void regroup() {
         var ready = reach.list(workers.values());
-        health.list(ready.stream().map(worker -> worker.health).toList(), listCalls.blindSince());
+        health.list(ready.stream().map(worker -> worker.health).toList());
         rates.list(ready);
     }
 
--- a/decisions/src/main/java/pipitladder/Dispatcher.java
+++ b/decisions/src/main/java/pipitladder/Dispatcher.java
@@ -62,9 +62,10 @@
 
     /**
      * How far a list update reaches; FAILED answers a call to the list that brought nothing, FORGOTTEN names
-     * workers that have been gone for so long that nothing need be remembered of them.
+     * workers that have been gone for so long that nothing need be remembered of them, and AMENDED holds
+     * changes that discovery did not tell, such as an operator's drain.
      */
-    enum ListKind { CHANGES, COMPLETE, CACHED, FAILED, FORGOTTEN }
+    enum ListKind { CHANGES, COMPLETE, CACHED, FAILED, FORGOTTEN, AMENDED }
 
     /** Figures a worker may report, in the order of {@link Settings#reportFields}. */
     enum ReportField { IN_FLIGHT, QUEUED, UTILISATION, LATENCY_MS, PER_SECOND, ERRORS_PER_SECOND, FREE_SLOTS,
@@ -167,6 +168,9 @@
     /** The list of workers, or its changes. A worker that a complete list leaves out is gone. */
     record WorkerList(ListKind kind, List<WorkerInfo> workers) implements Event { }
 
+    /** Discovery is not listened to any more; its last word came at {@code heardAt}. */
+    record DiscoveryLost(long heardAt) implements Event { }
+
     /**
      * A client's request; it is owed exactly one final answer within {@code timeLeft}.
      *
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -309,12 +309,12 @@
         /** Ended in trouble, whoever was to blame. */
         boolean failed;
 
-        Attempt(Job job, Worker worker, long sentAt, long dueAt) {
+        Attempt(Job job, Worker worker, long sentAt, long dueAt, long beginBy) {
             this.job = job;
             this.worker = worker;
             this.sentAt = sentAt;
             this.dueAt = dueAt;
-            this.beginBy = job.repeatsBeginBy();
+            this.beginBy = Math.min(beginBy, job.repeatsBeginBy());
             this.awaited = worker.health.sent(sentAt, dueAt, job.length() / Math.max(1e-3, worker.speed),
                     job.request.jobClass());
             this.workAhead = worker.work;
--- a/decisions/src/main/java/ryemast/health/Box.java
+++ b/decisions/src/main/java/ryemast/health/Box.java
@@ -394,12 +394,12 @@
 
     /** Whether a job may go here by the box's standing; if not, only where no other box will do. */
     public boolean admits() {
-        return isProven() && (isWell() || isRationed() && credit() >= 1);
+        return isWell() || isRationed() && credit() >= 1;
     }
 
     /** Whether a job that must run once may go here. */
     public boolean isTrusted() {
-        return isProven() && isWell();
+        return isWell();
     }
 
     /** Whether nothing is held against it. */
@@ -407,10 +407,12 @@
         return standing == Standing.FULL && ceiling >= 1;
     }
 
-    /** Where the list is too old: a job sent here lately has started, and none was turned away since. */
-    private boolean isProven() {
-        return health.provenSince() == Long.MIN_VALUE
-                || startedSentAt >= health.provenSince() && startedSentAt > turnedAwayAt;
+    /**
+     * When the latest job was sent that started here; the least number if there is none, or if the box has
+     * turned a job away since.
+     */
+    public long provenAt() {
+        return startedSentAt > turnedAwayAt ? startedSentAt : Long.MIN_VALUE;
     }
 
     /** Whether a job that may be repeated should go here now, to see whether the box is well again. */
--- a/decisions/src/main/java/ryemast/health/Health.java
+++ b/decisions/src/main/java/ryemast/health/Health.java
@@ -32,8 +32,6 @@
     /** A box of a zone that has gone down otherwise: one more bad sign would convict it. */
     private static final double ZONE_SUSPECT = 0.5;
     private static final int LEAST_OF_ZONE = 3;
-    /** What a box begins counts as told so long after, whether or not it was heard. */
-    private static final long TOLD = 6_000_000;
     /** Lines a second for the operators at most. */
     private static final long LINE_EVERY = 1_000_000;
     private static final long NEWS_EVERY = 10_000_000;
@@ -56,9 +54,6 @@
     private long awakeAt = Long.MIN_VALUE / 2;
     private long deafFor;
     long sends;
-    private long blindSince = Long.MAX_VALUE;
-    /** A box that took a job since then is surely not told of as draining; the least number: any box is. */
-    private long provenSince = Long.MIN_VALUE;
 
     /**
      * @param startsTold        whether boxes tell when a job starts
@@ -84,19 +79,9 @@
         dirty.remove(box);
     }
 
-    /** The boxes that may get jobs now, by a list that is kept up to date. */
+    /** The boxes that may get jobs now. */
     public void list(List<Box> ready) {
-        list(ready, Long.MAX_VALUE);
-    }
-
-    /**
-     * The boxes that may get jobs now, by a list that nothing has been added to since then. Once that is
-     * long ago, one of them may drain and count as told of it, and only own jobs tell that it does not:
-     * where there is one that took a job lately, the others get none.
-     */
-    public void list(List<Box> ready, long since) {
         listed = List.copyOf(ready);
-        blindSince = since;
     }
 
     int listed() {
@@ -135,10 +120,6 @@
         return (now - from - deaf) / 1e6;
     }
 
-    long provenSince() {
-        return provenSince;
-    }
-
     boolean mostSick() {
         return mostSick;
     }
@@ -150,7 +131,6 @@
     /** Gives every box that something has been seen of its standing; to be called before each round. */
     public void review(long now) {
         turns.at(now);
-        provenSince = now - TOLD < blindSince ? Long.MIN_VALUE : now - TOLD;
         suspects.addAll(dirty);
         dirty.clear();
         if (suspects.isEmpty()) {
--- a/decisions/src/main/java/ryemast/health/Refusals.java
+++ b/decisions/src/main/java/ryemast/health/Refusals.java
@@ -9,6 +9,7 @@
     /** Each cause, in words that follow a number of jobs. */
     public enum Cause {
         NO_BOX("no worker was listed that may take them"),
+        OUTDATED_LIST("the list of workers was out of date, and none that may take them took a job lately"),
         BUSY("every worker that may take them was busy for longer than they could wait"),
         SILENT("workers with room were waited for in vain, or were full"),
         OVER_SHARE("they were beyond their tenant's share, and room was short"),
--- /dev/null
+++ b/decisions/src/main/java/ryemast/membership/ListAge.java
@@ -0,0 +1,64 @@
+package ryemast.membership;
+
+/**
+ * Whether the list of workers is recent enough to go by, where discovery is not heard.
+ *
+ * <p>A change counts as notified {@link #NOTIFIED_AFTER} after discovery had it, whether or not it was heard.
+ * So the list alone is enough until that long after discovery's last word. From then on a worker may be used
+ * only while it proves itself: a draining worker turns jobs away, so one that took a job did not drain when
+ * that was sent, and if it began to since then, it does not count as notified yet. A job proves this only if
+ * it was sent after discovery was lost, as what a broken watch missed counts as notified earlier.
+ *
+ * <p>Times are microseconds on the dispatcher's clock. Owned by whoever owns the list.
+ */
+public final class ListAge {
+
+    /** What discovery has counts as notified so long after, heard or not. */
+    public static final long NOTIFIED_AFTER = 6_000_000;
+    /** What another discovery has counts as notified so long after the dispatcher was told to go there. */
+    public static final long NOTIFIED_AFTER_MOVE = 4_000_000;
+    /**
+     * So long a new process goes by the list that it was started with, of unknown age: enough for its turn to
+     * ask discovery, and for an answer.
+     */
+    public static final long FIRST_LIST = 3_000_000;
+    /** A time that never comes. */
+    public static final long NEVER = Long.MAX_VALUE;
+
+    private long outdatedAt = NEVER;
+    private long lostAt;
+
+    /** Discovery has said what there is, or what has changed. */
+    public void heard() {
+        outdatedAt = NEVER;
+    }
+
+    /** Discovery is not listened to any more; its last word came at {@code heardAt}. */
+    public void lost(long heardAt, long now) {
+        outdatedAt = Math.min(outdatedAt, heardAt + NOTIFIED_AFTER);
+        lostAt = now;
+    }
+
+    /** Whether discovery was heard since it was last lost. */
+    public boolean isHeard() {
+        return outdatedAt == NEVER;
+    }
+
+    /** Whether the list alone is not enough any more. */
+    public boolean isOutdated(long now) {
+        return now >= outdatedAt;
+    }
+
+    /** Whether a worker may be used that last took a job sent at {@code provenAt}. */
+    public boolean permits(long provenAt, long now) {
+        return now < usableUntil(provenAt);
+    }
+
+    /** Until when an attempt may begin at a worker that last took a job sent at {@code provenAt}. */
+    public long usableUntil(long provenAt) {
+        if (isHeard() || provenAt < lostAt) {
+            return outdatedAt;
+        }
+        return Math.max(outdatedAt, provenAt + NOTIFIED_AFTER);
+    }
+}
--- a/decisions/src/main/java/ryemast/pacing/ListCalls.java
+++ b/decisions/src/main/java/ryemast/pacing/ListCalls.java
@@ -74,8 +74,6 @@
     private int inVain;
     /** When the call that is out was or is to be made. */
     private long askedAt = Long.MAX_VALUE;
-    /** Since when there is no watch; the largest number while there is one. */
-    private long blindSince = Long.MAX_VALUE;
 
     /**
      * @param askEvery  the time within which the list must be asked, in microseconds
@@ -94,20 +92,10 @@
         failures = 0;
         inVain = 0;
         askedAt = Long.MAX_VALUE;
-        blindSince = Long.MAX_VALUE;
-    }
-
-    /**
-     * Since when nothing that discovery says has come, where calls were made in vain; the largest number
-     * otherwise: an outage tells nobody anything, and a call that failed at once has waited in no line.
-     */
-    public long blindSince() {
-        return inVain == 0 ? Long.MAX_VALUE : blindSince;
     }
 
     /** How long to wait before the first call, in microseconds: each dispatcher has a turn of its own. */
     public long first(long now) {
-        blindSince = now;
         double turn = dispatchers == 1 ? 0 : Math.min(TURN, 1.0 / dispatchers);
         return asksAfter(now, 1 + (long) Turns.begins(askEvery * turn, self, random.nextDouble()));
     }
@@ -118,7 +106,6 @@
             return PUSHED_PAUSE;
         }
         failures++;
-        blindSince = Math.min(blindSince, now);
         int windows = (dispatchers + CALLS_A_WINDOW - 1) / CALLS_A_WINDOW;
         if (now - askedAt > askEvery * IN_LINE && windows > 1) {
             inVain++;
--- /dev/null
+++ b/decisions/src/test/java/pipitladder/UnheardListTest.java
@@ -0,0 +1,83 @@
+package pipitladder;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static pipitladder.Stage.MS;
+import static pipitladder.Stage.S;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pipitladder.Dispatcher.DiscoveryLost;
+import pipitladder.Dispatcher.Effect;
+import pipitladder.Dispatcher.KeyScope;
+import pipitladder.Dispatcher.ListKind;
+import pipitladder.Dispatcher.Refuse;
+import pipitladder.Dispatcher.WorkerList;
+
+/** No worker that may drain unheard gets a job, whatever else speaks for it. */
+class UnheardListTest {
+
+    private final Stage stage = new Stage(Stage.settings(Effect.REPEATABLE, KeyScope.ALL));
+    private long requests;
+
+    @BeforeEach
+    void list() {
+        stage.list(Stage.worker("a"), Stage.worker("b"));
+    }
+
+    /** Where a new job goes in its round; null for nowhere. */
+    private String placed() {
+        return stage.place(++requests);
+    }
+
+    @Test
+    void aSendBeforeTheListIsTooOldMayNotBeginAfterwards() {
+        stage.tell(new DiscoveryLost(stage.now - S));
+        long outdatedAt = stage.now + 5 * S;
+        placed();
+        assertEquals(outdatedAt, stage.sends(requests).get(0).beginBy());
+    }
+
+    @Test
+    void whereNoWorkerHasTakenAJobNoneIsSentAndTheClientIsInvitedToTryElsewhere() {
+        stage.tell(new DiscoveryLost(stage.now - 6 * S));
+        assertNull(placed());
+        stage.pass(11 * S);
+        assertEquals(1, stage.all(Refuse.class).size());
+    }
+
+    @Test
+    void onlyTheWorkerThatTookAJobLatelyGetsTheNext() {
+        stage.tell(new DiscoveryLost(stage.now - 5 * S));
+        var first = placed();
+        stage.serve(requests);
+        stage.pass(S);
+        for (int i = 0; i < 20; i++) {
+            assertEquals(first, placed());
+            stage.serve(requests);
+        }
+        stage.pass(7 * S);
+        assertNull(placed());
+    }
+
+    @Test
+    void anOperatorsDrainIsNoWordOfDiscovery() {
+        stage.tell(new DiscoveryLost(stage.now - 6 * S));
+        stage.tell(new WorkerList(ListKind.AMENDED, List.of(Stage.worker("a"))));
+        assertNull(placed());
+        stage.change();
+        assertNotNull(placed());
+    }
+
+    /** In the simulator nothing tells when discovery was last heard. */
+    @Test
+    void aFailedCallAloneCountsFromThen() {
+        stage.tell(new WorkerList(ListKind.FAILED, List.of()));
+        stage.pass(6 * S - 200 * MS);
+        assertNotNull(placed());
+        stage.pass(200 * MS);
+        assertNull(placed());
+    }
+}
--- a/decisions/src/test/java/ryemast/health/HealthTest.java
+++ b/decisions/src/test/java/ryemast/health/HealthTest.java
@@ -58,27 +58,20 @@
         return boxes.get(box).standing();
     }
 
-    private List<Integer> admitted() {
-        health.review(now);
-        return boxes.stream().filter(Box::isTrusted).map(boxes::indexOf).toList();
-    }
-
-    /** Guards against boxes that drain unheard: what took a job lately is not told of yet, if it does. */
+    /** Guards against boxes that drain unheard: a start proves that a box did not as its job was sent. */
     @Test
-    void whereTheListIsTooOldOnlyWhoeverTookAJobLatelyGetsOne() {
-        health.list(boxes, now);
-        now += 6 * S - 1;
-        assertEquals(6, admitted().size());
+    void aBoxProvesItselfByAJobThatStartsAndNoMoreOnceItTurnsOneAway() {
+        assertEquals(Long.MIN_VALUE, health.box("new").provenAt());
+        long sentAt = now;
         job(1, Sign.SERVED);
-        job(2, Sign.SERVED);
-        assertEquals(List.of(1, 2), admitted());
+        assertEquals(sentAt, boxes.get(1).provenAt());
         job(1, Sign.TURNED_AWAY);
         send(1).ended(Sign.TURNED_AWAY, false, now);
-        assertEquals(List.of(2), admitted());
-        now += 6 * S;
-        assertEquals(List.of(), admitted());
-        health.list(boxes);
-        assertEquals(6, admitted().size());
+        assertEquals(Long.MIN_VALUE, boxes.get(1).provenAt());
+        now += S;
+        sentAt = now;
+        job(1, Sign.SERVED);
+        assertEquals(sentAt, boxes.get(1).provenAt());
     }
 
     @Test
--- /dev/null
+++ b/decisions/src/test/java/ryemast/membership/ListAgeTest.java
@@ -0,0 +1,63 @@
+package ryemast.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class ListAgeTest {
+
+    private static final long S = 1_000_000;
+    private static final long UNPROVEN = Long.MIN_VALUE;
+
+    private final ListAge age = new ListAge();
+
+    @Test
+    void whileDiscoveryIsHeardNothingNeedsProof() {
+        assertTrue(age.permits(UNPROVEN, 1_000 * S));
+        age.lost(10 * S, 12 * S);
+        age.heard();
+        assertTrue(age.permits(UNPROVEN, 1_000 * S));
+        assertFalse(age.isOutdated(1_000 * S));
+    }
+
+    /** It was dated from when the loss was noticed, 3 to 6 s later. */
+    @Test
+    void theListIsOutdatedSixSecondsAfterTheLastWordAndNotAfterTheLossWasNoticed() {
+        age.lost(10 * S, 13 * S);
+        assertTrue(age.permits(UNPROVEN, 16 * S - 1));
+        assertFalse(age.permits(UNPROVEN, 16 * S));
+        assertTrue(age.isOutdated(16 * S));
+    }
+
+    @Test
+    void furtherLossesMakeItNoYounger() {
+        age.lost(10 * S, 13 * S);
+        age.lost(13 * S, 14 * S);
+        assertTrue(age.isOutdated(16 * S));
+    }
+
+    @Test
+    void aJobProvesItsWorkerForSixSecondsFromItsSending() {
+        age.lost(10 * S, 13 * S);
+        assertTrue(age.permits(14 * S, 20 * S - 1));
+        assertFalse(age.permits(14 * S, 20 * S));
+        assertEquals(20 * S, age.usableUntil(14 * S));
+    }
+
+    /** What a broken watch missed counts as notified 6 s after its last word, however late it happened. */
+    @Test
+    void aJobSentBeforeTheLossProvesNothing() {
+        age.lost(10 * S, 13 * S);
+        assertFalse(age.permits(13 * S - 1, 16 * S));
+        assertEquals(16 * S, age.usableUntil(13 * S - 1));
+    }
+
+    @Test
+    void aProofIsNeverWorthLessThanTheListItself() {
+        age.lost(10 * S, 10 * S);
+        assertEquals(16 * S, age.usableUntil(UNPROVEN));
+        assertEquals(17 * S, age.usableUntil(11 * S));
+    }
+}
--- a/decisions/src/test/java/ryemast/pacing/ListCallsTest.java
+++ b/decisions/src/test/java/ryemast/pacing/ListCallsTest.java
@@ -134,21 +134,6 @@
         }
     }
 
-    @Test
-    void onlyWhoeverWaitedInVainIsBlind() {
-        var calls = calls(7, 100);
-        long asked = SECOND + calls.first(SECOND);
-        assertEquals(Long.MAX_VALUE, calls.blindSince());
-        asked += 3 * SECOND;
-        calls.failed(asked);
-        assertEquals(SECOND, calls.blindSince());
-        calls.heard();
-        calls.failed(50 * SECOND);
-        assertEquals(Long.MAX_VALUE, calls.blindSince());
-        calls.failed(70 * SECOND);
-        assertEquals(50 * SECOND, calls.blindSince());
-    }
-
     /** Guards the half second after a drain is told: an agent of one's own is asked again at once, always. */
     @Test
     void whereListsArePushedNoPauseGrowsOrDependsOnOthers() {
--- a/lab/src/main/java/ryemast/lab/compare/Blundering.java
+++ b/lab/src/main/java/ryemast/lab/compare/Blundering.java
@@ -35,7 +35,7 @@
     }
 
     private void follow(WorkerList list) {
-        if (list.kind() != ListKind.CHANGES) {
+        if (list.kind() != ListKind.CHANGES && list.kind() != ListKind.AMENDED) {
             ready.clear();
         }
         for (var worker : list.workers()) {
--- a/lab/src/main/java/ryemast/lab/compare/JarModule.java
+++ b/lab/src/main/java/ryemast/lab/compare/JarModule.java
@@ -185,7 +185,7 @@
     private void tell(WorkerList told) throws IOException {
         var view = mine("view");
         view.addProperty("scope", switch (told.kind()) {
-            case CHANGES -> "patch";
+            case CHANGES, AMENDED -> "patch";
             case COMPLETE -> "whole";
             case CACHED -> "stale_copy";
             case FAILED -> "broken";
--- a/lab/src/main/java/ryemast/lab/fit/Collector.java
+++ b/lab/src/main/java/ryemast/lab/fit/Collector.java
@@ -199,7 +199,8 @@
             if (e.kind() == ListKind.FAILED) {
                 return;
             }
-            if (firstList == null && e.kind() != ListKind.CHANGES && !e.workers().isEmpty()) {
+            if (firstList == null && e.kind() != ListKind.CHANGES && e.kind() != ListKind.AMENDED
+                    && !e.workers().isEmpty()) {
                 firstList = e.workers();
             }
             lists.add(e);
--- a/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
+++ b/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
@@ -11,6 +11,7 @@
 import ryemast.core.Members;
 import ryemast.core.Note;
 import ryemast.core.ServiceTable;
+import ryemast.membership.ListAge;
 import ryemast.net.Addresses;
 import ryemast.net.Dialer;
 import ryemast.net.Link;
@@ -104,6 +105,7 @@
             discovery = address;
             version = 0;
             hasty = 0;
+            members.discoveryLost(loop.now() + ListAge.NOTIFIED_AFTER_MOVE - ListAge.NOTIFIED_AFTER);
             watch(shortPatience());
         }
     }
@@ -162,12 +164,20 @@
         void fail(String why) {
             if (watch == this) {
                 warn(why);
+                lost();
                 watch = null;
                 close();
                 members.discoveryFailed();
             }
         }
 
+        /** A call that was never answered leaves things as they were: discovery was lost before. */
+        private void lost() {
+            if (heard) {
+                members.discoveryLost(heardAt);
+            }
+        }
+
         private void warn(String why) {
             Note.warning(LOG, "the watch on the service table failed: {why}; opened {open_ms} ms ago,"
                     + " discovery last heard {silent_ms} ms ago, list {version}", "why", why,
@@ -196,6 +206,7 @@
             }
             hasty++;
             warn("silence");
+            lost();
             watch(shortPatience());
         }
 
