--- a/decisions/src/main/java/pipitladder/Discovered.java
+++ b/decisions/src/main/java/pipitladder/Discovered.java
@@ -60,7 +60,7 @@
         }
         wasOutdated = !wasOutdated;
         return Optional.of(wasOutdated
-                ? "the list of workers is out of date, as discovery is not heard: jobs go only to workers that"
-                + " took one lately" : "the list of workers is up to date again");
+                ? "the list of workers is out of date, as discovery is not heard: jobs go only to workers"
+                + " that took one lately" : "the list of workers is up to date again");
     }
 }
