Add failing tests for requests that run twice, and a soak of the whole program

Traced by the log to three faults, each with a test of its own that fails here: AttemptBeginsTest: an answer that is read late, before the next job is written or behind it, is taken for that job's: it counts as turned away and goes out again though its worker runs it ([REJECTED] in both orders).

--- a/app/src/test/java/ryemast/it/Peer.java
+++ b/app/src/test/java/ryemast/it/Peer.java
@@ -7,6 +7,7 @@
 import java.net.SocketException;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 
 /** A server that a test scripts: a worker, or discovery. */
 final class Peer implements Closeable {
@@ -21,6 +22,8 @@
     final Queue<Wire.Message> received = new ConcurrentLinkedQueue<>();
     final Queue<Wire> wires = new ConcurrentLinkedQueue<>();
     volatile Script script;
+    /** Told of each connection that the other side has ended. */
+    volatile Consumer<Wire> ended = wire -> { };
 
     Peer(Script script) throws IOException {
         this.script = script;
@@ -39,6 +42,7 @@
             script.play(wire, message);
         }
         wire.close();
+        ended.accept(wire);
     }
 
     private interface Step {
--- /dev/null
+++ b/app/src/test/java/ryemast/it/SoakIT.java
@@ -0,0 +1,42 @@
+package ryemast.it;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Runs of the whole program under troubles drawn from seeds. A longer soak: {@code -Dsoak.from=1 -Dsoak.to=50
+ * -Dit.test=SoakIT}, which leaves the report of each failed run in {@code app/target/soak}.
+ */
+@Timeout(180)
+class SoakIT {
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(Long.getLong("soak.from", 1), Long.getLong("soak.to", 4));
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noRuleIsBroken(long seed) throws Exception {
+        try (var run = new SoakRun(seed)) {
+            var breaches = new ArrayList<>(run.play());
+            if (!breaches.isEmpty()) {
+                var report = Path.of("app", "target", "soak", seed + ".txt");
+                Files.createDirectories(report.getParent());
+                Files.writeString(report, String.join("\n", breaches) + "\n" + run.report() + "\n");
+            }
+            assertEquals(List.of(), breaches);
+            assertTrue(run.served() > 0, run::report);
+        }
+    }
+}
--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -483,6 +483,8 @@
         var best = choose(job, null);
         boolean misses = best == null || now + finish(best, job) * SECOND > job.aimAt;
         boolean over = now + 2 * period >= job.deadline || now > job.aimAt && job.jobClass.lateWorth() == 0;
+        // Its client may well find a dispatcher that knows more.
+        boolean outdated = best == null && discovered.age().isOutdated(now);
         if (misses && asksWorkers && job.draws < DRAWS && !over) {
             probeFor(job);
             gather(job);
@@ -497,9 +499,8 @@
                 health.purse().repeat(now);
                 send(job, beside);
             }
-        } else if (best != null || over) {
-            giveUp(job, best == null ? discovered.age().isOutdated(now) ? Cause.OUTDATED_LIST : Cause.NO_BOX
-                    : job.overShare ? Cause.OVER_SHARE
+        } else if (best != null || over || outdated && !job.mayHaveRun()) {
+            giveUp(job, outdated ? Cause.OUTDATED_LIST : best == null ? Cause.NO_BOX : job.overShare ? Cause.OVER_SHARE
                     : best.shown > 2 * best.queueing ? Cause.SILENT : Cause.BUSY);
         } else {
             gather(job);
--- a/net/src/test/java/ryemast/net/worker/AttemptBeginsTest.java
+++ b/net/src/test/java/ryemast/net/worker/AttemptBeginsTest.java
@@ -1,6 +1,7 @@
 package ryemast.net.worker;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -16,8 +17,11 @@
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import pipitladder.Dispatcher.Action;
 import pipitladder.Dispatcher.AttemptEnded;
 import pipitladder.Dispatcher.Event;
@@ -33,6 +37,7 @@
 import ryemast.core.Terminal;
 import ryemast.core.Transaction;
 import ryemast.net.DrivenLoop;
+import ryemast.net.HeldProcessor;
 import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
 import ryemast.net.http.HttpCodec;
@@ -242,6 +247,45 @@
         }
     }
 
+    /** The same where the thread that reads is held up, so that both orders of reading and writing come. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anOldAnswerThatIsReadLateIsNotTheNextJobs(boolean readBeforeTheWrite) throws Exception {
+        submit();
+        try (var first = worker.accept(); var held = new HeldProcessor(transport, driven)) {
+            driven.until(() -> first.getInputStream().available() > 0);
+            first.getOutputStream().write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n".getBytes(
+                    StandardCharsets.US_ASCII));
+            driven.turnFor(50);
+            driven.pass(WorkerConnectionPool.LEAST_REST);
+            if (!readBeforeTheWrite) {
+                held.catchNext();
+                held.awaitHeld();
+            }
+            first.getOutputStream().write(("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\n"
+                    + "Content-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            if (readBeforeTheWrite) {
+                // Read, and on its way to the loop as the next job goes out in the present turn.
+                driven.loop.post(() -> pause(100));
+            }
+            driven.loop.post(() -> exchange.submit(new Submission("u", 0, 0, 1, 0, 0,
+                    driven.loop.now() + 5 * SECOND, "/api/u", new byte[0]), new NoTerminal()));
+            driven.loop.turn();
+            held.release();
+            driven.turnFor(100);
+            assertFalse(outcomes.contains(Outcome.REJECTED), outcomes::toString);
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** MINA counts its own limit on the wall clock; a step of an hour failed every connection on its way. */
     @Test
     void noTimeLimitOfTheNetworkLibraryIsWithinAStepOfTheWallClock() {
