Let the test's second answer come while the turn goes on, always

Two of three runs of anOldAnswerThatIsReadLate...[true] waited in vain: the answer could be read before the turn began, and closed the connection at rest. The order that the test is about is the same.

--- a/net/src/test/java/ryemast/net/worker/AttemptBeginsTest.java
+++ b/net/src/test/java/ryemast/net/worker/AttemptBeginsTest.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -257,15 +258,13 @@
                     StandardCharsets.US_ASCII));
             driven.turnFor(50);
             driven.pass(WorkerConnectionPool.LEAST_REST);
-            if (!readBeforeTheWrite) {
+            if (readBeforeTheWrite) {
+                // Read, and on its way to the loop, while the turn goes on in which the next job goes out.
+                driven.loop.post(() -> answerAgain(first, 100));
+            } else {
                 held.catchNext();
                 held.awaitHeld();
-            }
-            first.getOutputStream().write(("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\n"
-                    + "Content-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
-            if (readBeforeTheWrite) {
-                // Read, and on its way to the loop as the next job goes out in the present turn.
-                driven.loop.post(() -> pause(100));
+                answerAgain(first, 0);
             }
             driven.loop.post(() -> exchange.submit(new Submission("u", 0, 0, 1, 0, 0,
                     driven.loop.now() + 5 * SECOND, "/api/u", new byte[0]), new NoTerminal()));
@@ -278,10 +277,12 @@
         }
     }
 
-    private static void pause(long millis) {
+    private static void answerAgain(Socket wire, long pauseMillis) {
         try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
+            wire.getOutputStream().write(("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\n"
+                    + "Content-Length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            Thread.sleep(pauseMillis);
+        } catch (IOException | InterruptedException e) {
             throw new IllegalStateException(e);
         }
     }
