Ask a worker to drop a job whose answer could not be read, before it goes out again

Callers saw: a job ran at two workers at once where no copies are allowed, or twice at one (duplicate), while reads failed for a moment. Cause: a connection that broke without an answer ended the attempt (Exchange.ended, RESET). The break may have been seen on this side alone: a read that fails with ECONNRESET, ETIMEDOUT or EIO closes a connection on which the worker's 202 lies, and a close after the 202 gives nothing up. Class: a local failure taken for the remote's state. Fix: Recalls (out of Exchange) keeps such an attempt until the worker has answered a cancel, asked again each 250 ms; a refused connection tells that the process is gone. Classes that must run once never go out again after a break, and are not cancelled. Related path: a cancel that fails on its way is sent up to four times, where nobody waits for it.

--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.logging.Logger;
 import pipitladder.Brain;
+import pipitladder.Dispatcher.Effect;
 import ryemast.batch.BatchFront;
 import ryemast.config.Config;
 import ryemast.config.ConfigException;
@@ -98,6 +99,9 @@
         if (!settings.limits().secondCopies()) {
             exchange.awaitRecalls();
         }
+        if (settings.limits().cancel()) {
+            exchange.recallWhenBroken(number -> settings.classes().get(number).effect() != Effect.UNSAFE);
+        }
         transport = new Transport();
         members = new Members(loop, exchange, new Membership(tuning.members()),
                 new StartTimes(clock::now, () -> System.currentTimeMillis() * Clock.MICROS_PER_MS));
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.IntPredicate;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import pipitladder.Dispatcher;
@@ -42,8 +43,6 @@
     private static final Logger LOG = Logger.getLogger(Exchange.class.getName());
     /** So many names are remembered by default: at the busiest, those of a minute or more. */
     public static final int NAMES = 4096;
-    /** A worker that did not answer is asked again after so long, in microseconds. */
-    private static final long RECALL_AGAIN = 250_000;
 
     private final Loop loop;
     private final Dispatcher module;
@@ -65,8 +64,7 @@
     private final Map<String, WorkerState> listedWorkers = new HashMap<>();
     private List<Event> gathered = new ArrayList<>();
     private final List<Action> actions = new ArrayList<>();
-    /** Whether an attempt that its worker has taken goes on until the worker has dropped it. */
-    private boolean awaitsRecalls;
+    private final Recalls recalls;
     private long lastNumber;
     private int open;
     /** No request may wait for longer than until then, as the program is about to end. */
@@ -89,11 +87,13 @@
         this.maxAttempts = maxAttempts;
         this.grace = grace;
         this.names = names;
+        recalls = new Recalls(loop, (task, outcome) -> conclude(task, outcome, null));
         loop.settleWith(this::settle);
     }
 
     public void connect(Region toWorkers, ServiceTable table) {
         region = toWorkers;
+        recalls.connect(toWorkers);
         serviceTable = table;
     }
 
@@ -117,7 +117,16 @@
      * answered that, or the way there would let the next attempt overtake the word of the first one's end.
      */
     public void awaitRecalls() {
-        awaitsRecalls = true;
+        recalls.awaitCancelled();
+    }
+
+    /**
+     * From now on an attempt of such a class whose connection broke without an answer ends only once its
+     * worker has answered that it is to be dropped: the break may have been seen on this side alone, and the
+     * worker may have taken the job. For classes that may go out again.
+     */
+    public void recallWhenBroken(IntPredicate classes) {
+        recalls.awaitBroken(classes);
     }
 
     /** How many transactions still wait for their answer. */
@@ -208,7 +217,9 @@
 
     /** The region reports the end of a routed task; one that has ended already is passed over. */
     public void ended(RoutedTask task, Outcome outcome) {
-        conclude(task, outcome, null);
+        if (!recalls.awaitsBroken(task, outcome)) {
+            conclude(task, outcome, null);
+        }
     }
 
     /** A worker's word on a job. It may come before the 202, repeatedly, or for what is long over. */
@@ -468,25 +479,12 @@
     private void cancel(Transaction transaction, int number) {
         if (transaction != null && number >= 0 && number < transaction.tasks.size()) {
             var task = transaction.tasks.get(number);
-            if (!awaitsRecalls || transaction.answered || !task.recalled && !recall(task)) {
+            if (!recalls.awaitsCancelled(task)) {
                 abandon(task, Outcome.CANCELLED);
             }
         }
     }
 
-    private boolean recall(RoutedTask task) {
-        task.recalled = !task.ended() && region.recall(task, answered -> recalled(task, answered));
-        return task.recalled;
-    }
-
-    private void recalled(RoutedTask task, boolean answered) {
-        if (answered) {
-            conclude(task, Outcome.CANCELLED, null);
-        } else if (!task.ended()) {
-            loop.at(loop.now() + RECALL_AGAIN, () -> recall(task));
-        }
-    }
-
     private void abandon(RoutedTask task, Outcome outcome) {
         if (!task.ended()) {
             conclude(task, outcome, null);
--- a/net/src/main/java/ryemast/net/worker/Call.java
+++ b/net/src/main/java/ryemast/net/worker/Call.java
@@ -20,8 +20,9 @@
     private final Exchange exchange;
     private final RoutedTask task;
     private final long startedAt;
-    /** Who is told whether a cancel was answered; null for nobody. */
+    /** Who is told whether a cancel was answered; null for an attempt. */
     private final Consumer<Boolean> heard;
+    private final boolean mindsAnswers;
     private boolean begun;
 
     /** {@code message}: made once, when it is written. */
@@ -31,20 +32,26 @@
         this.message = message;
         this.startedAt = startedAt;
         heard = null;
+        mindsAnswers = true;
     }
 
-    /** A cancel; {@code heard} is told once whether it was answered, or is null. */
-    Call(HttpMessage cancel, Consumer<Boolean> heard, long startedAt) {
+    /**
+     * A cancel; {@code heard} is told once whether it was answered.
+     *
+     * @param mindsAnswers  whether another call's answer must not be taken for this one's
+     */
+    Call(HttpMessage cancel, Consumer<Boolean> heard, boolean mindsAnswers, long startedAt) {
         exchange = null;
         task = null;
         message = () -> cancel;
         this.heard = heard;
+        this.mindsAnswers = mindsAnswers;
         this.startedAt = startedAt;
     }
 
     /** Whether its answer must not be mixed up with another one's. */
     boolean mindsAnswers() {
-        return task != null || heard != null;
+        return mindsAnswers;
     }
 
     /** Whether it may still be written; see {@link Exchange#mayBegin}. */
@@ -101,16 +108,23 @@
                         : written ? "the request was written" : "the request was not written whole");
             }
             exchange.ended(task, Outcomes.ofBreak(written));
-        } else if (heard != null) {
+        } else {
             heard.accept(false);
         }
     }
 
+    /** Nobody listens at the worker's address: its process is gone, and all that it had. */
+    void foundNobody() {
+        if (task == null) {
+            heard.accept(true);
+        } else {
+            broke(false);
+        }
+    }
+
     void answered(HttpHead head) {
         if (task == null) {
-            if (heard != null) {
-                heard.accept(true);
-            }
+            heard.accept(true);
             return;
         }
         int status = head.status();
--- a/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -48,6 +48,10 @@
      */
     public static final long LEAST_REST = 20_000;
 
+    /** How often a cancel is sent at most, and how long after a failed one the next follows. */
+    private static final int DROP_TRIES = 4;
+    private static final long DROP_AGAIN = 100_000;
+
     private final Loop loop;
     private final Exchange exchange;
     private final Function<String, InetSocketAddress> addresses;
@@ -104,10 +108,19 @@
         if (carrier.call != null && carrier.call.carries(task)) {
             carrier.close();
         } else {
-            call(carrier.address, new Call(deletion(task, carrier.address), null, loop.now()));
+            drop(task, carrier.address, DROP_TRIES);
         }
     }
 
+    /** A cancel that is not answered is sent again, as the worker may still have the job. */
+    private void drop(RoutedTask task, InetSocketAddress address, int tries) {
+        call(address, new Call(deletion(task, address), answered -> {
+            if (!answered && tries > 1) {
+                loop.at(loop.now() + DROP_AGAIN, () -> drop(task, address, tries - 1));
+            }
+        }, false, loop.now()));
+    }
+
     /**
      * Before the worker has answered, the connection's end gives the attempt up, but nobody tells when it has
      * come there: the answer to a message that was sent after it does.
@@ -123,7 +136,7 @@
             carrier.call = null;
             carrier.close();
         }
-        call(carrier.address, new Call(deletion(task, carrier.address), answered, loop.now()));
+        call(carrier.address, new Call(deletion(task, carrier.address), answered, true, loop.now()));
         return true;
     }
 
@@ -235,9 +248,11 @@
 
         void connect(Call first) {
             call = first;
-            dialer.dial(address, this, up -> {
+            dialer.dial(address, this, (up, nobodyThere) -> {
                 session = up;
-                if (session == null) {
+                if (nobodyThere) {
+                    findNobody();
+                } else if (session == null) {
                     close();
                 } else if (closed) {
                     session.closeNow();
@@ -247,6 +262,15 @@
             });
         }
 
+        private void findNobody() {
+            var unsent = call;
+            call = null;
+            close();
+            if (unsent != null) {
+                unsent.foundNobody();
+            }
+        }
+
         void carry(Call next) {
             call = next;
             restBefore = idleSince == 0 ? -1 : rested(this);
