Answer what comes after SIGTERM before the earliest SIGKILL

Cause: Service.longestDeadline took the longest deadline, 3 s at least, where the platform counts it as 3 s at most: with 1 s deadlines the last answers were due 3.4 s after SIGTERM and SIGKILL comes after 1.7 s; with 5 s they were due after 5.4 s and it comes after 3.7 s. Fix: the lesser of the two; new jobs are refused from then on, where that is before 1.4 s.

--- a/app/src/main/java/ryemast/Service.java
+++ b/app/src/main/java/ryemast/Service.java
@@ -44,8 +44,8 @@
     private static final int PATIENCE = 2;
     /** The platform kills no sooner than this after the longest deadline that began at SIGTERM. */
     private static final long KILLED_AFTER = 700_000;
-    /** Where all deadlines are shorter, the platform takes this for the longest. */
-    private static final long SHORTEST_LONGEST_DEADLINE = 3_000_000;
+    /** Where the longest deadline is longer, the platform takes this for it. */
+    private static final long LONGEST_COUNTED_DEADLINE = 3_000_000;
     /** What a last answer may take on its way, and what the platform's clock may be ahead of ours. */
     private static final long TO_ANSWER = 300_000;
     /** Made in every start, that of the build's archive among them, which would not hold it otherwise. */
@@ -294,7 +294,7 @@
         if (drainingSince == 0) {
             Note.info(LOG, "ending: {open} transactions to answer", "open", exchange.open());
             drainingSince = loop.now();
-            exchange.endBy(drainingSince + longestDeadline() + KILLED_AFTER - TO_ANSWER);
+            exchange.endBy(drainingSince + answersFor());
             terminals.drain();
             if (batch != null) {
                 batch.drain();
@@ -309,12 +309,13 @@
         }
     }
 
-    private long longestDeadline() {
-        long longest = SHORTEST_LONGEST_DEADLINE;
+    /** For how long after SIGTERM there is surely time to answer what comes, in microseconds. */
+    private long answersFor() {
+        long longest = 0;
         for (var each : config.settings().classes()) {
             longest = Math.max(longest, each.deadline());
         }
-        return longest;
+        return Math.min(LONGEST_COUNTED_DEADLINE, longest) + KILLED_AFTER - TO_ANSWER;
     }
 
     private void endWhenQuiet() {
@@ -323,7 +324,7 @@
         if (since >= ending.clientsCome()) {
             terminals.closeResting(ending.rest());
         }
-        if (since >= PATIENCE * ending.least()) {
+        if (since >= Math.min(PATIENCE * ending.least(), answersFor())) {
             terminals.refuse();
         }
         if (since >= ending.least() && exchange.open() == 0 && (batch == null || batch.isQuiet())
--- a/app/src/test/java/ryemast/it/EndIT.java
+++ b/app/src/test/java/ryemast/it/EndIT.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** No request is lost by the end of a connection that the program chooses: at SIGTERM, and at its limit. */
 @Timeout(60)
@@ -96,15 +98,17 @@
     }
 
     /**
-     * The platform kills 0.7 s after the longest deadline, 3 s at least, that begins at SIGTERM; what comes
-     * late and waits for a worker that hangs is answered before that, though its client would wait for
-     * longer.
+     * The platform may kill 0.7 s after the longest deadline, counted as 3 s at most, that begins at SIGTERM;
+     * what comes late and waits for a worker that hangs is answered before that, though its client would wait
+     * for longer.
      */
-    @Test
-    void aRequestThatComesLateAndHangsIsAnsweredBeforeTheKill() throws Exception {
-        try (var platform = Platform.ofShortDeadlines(); var client = platform.client()) {
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 5_000})
+    void aRequestThatComesLateAndHangsIsAnsweredBeforeTheKill(long longestDeadline) throws Exception {
+        try (var platform = Platform.ofDeadline(longestDeadline); var client = platform.client()) {
             platform.program().destroy();
-            long killedAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(3_700);
+            long killedAt = System.nanoTime()
+                    + TimeUnit.MILLISECONDS.toNanos(Math.min(3_000, longestDeadline) + 700);
             var txn = platform.job(client, "sticker", 5_000);
             platform.holder(txn);
             assertEquals("500", client.read().status());
--- a/app/src/test/java/ryemast/it/Platform.java
+++ b/app/src/test/java/ryemast/it/Platform.java
@@ -88,10 +88,10 @@
                 SETTINGS.replace("\"second_copies\":true", "\"second_copies\":false"), faults.environment());
     }
 
-    /** One whose clients wait for a second at most, as far as the settings say. */
-    static Platform ofShortDeadlines() throws Exception {
+    /** One whose clients wait for so many milliseconds at most, as far as the settings say. */
+    static Platform ofDeadline(long millis) throws Exception {
         return new Platform("1000", 1024, "Ready Ready", null,
-                SETTINGS.replace("\"deadline\":5000000", "\"deadline\":1000000"));
+                SETTINGS.replace("\"deadline\":5000000", "\"deadline\":" + millis * 1_000));
     }
 
     private Platform(String maxOpen, int sockets, String firstStates, String operator, String settings)
--- a/app/src/test/java/ryemast/it/SoakDiscovery.java
+++ b/app/src/test/java/ryemast/it/SoakDiscovery.java
@@ -84,7 +84,7 @@
                 + "\",\"weight\":1.0,\"started_ms\":0}";
     }
 
-    /** Since when the dispatcher counts as notified that the worker drains; the largest number if it is not. */
+    /** Since when the dispatcher counts as notified that the worker drains; the largest number for never. */
     synchronized long notifiedAt(String worker) {
         var drain = drains.get(worker);
         return drain == null ? Long.MAX_VALUE : drain.notifiedAt;
--- a/app/src/test/java/ryemast/it/SoakIT.java
+++ b/app/src/test/java/ryemast/it/SoakIT.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.LongStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -24,7 +23,6 @@
         return LongStream.rangeClosed(Long.getLong("soak.from", 1), Long.getLong("soak.to", 4));
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @MethodSource("seeds")
     void noRuleIsBroken(long seed) throws Exception {
--- a/app/src/test/java/ryemast/it/SoakSettings.java
+++ b/app/src/test/java/ryemast/it/SoakSettings.java
@@ -22,7 +22,8 @@
                 case SINGLE_SHOT -> "single_shot";
             };
             return "{\"name\":\"" + name + "\",\"effect\":\"" + word + "\",\"key_scope\":\"all\","
-                    + "\"window\":5000000,\"on_time\":" + deadlineMs * 400 + ",\"deadline\":" + deadlineMs * 1000 + "}";
+                    + "\"window\":5000000,\"on_time\":" + deadlineMs * 400
+                    + ",\"deadline\":" + deadlineMs * 1000 + "}";
         }
     }
 
