Add failing tests for wake-ups, socket options and epoll_ctl that fail

A read of the selector's eventfd that fails with EIO stops all network traffic for 3,006 ms (MINA sleeps for a second after each exception), so that a list is applied late and drains are broken; a write of it that fails ends the program (InternalError on the loop). An accepted connection whose options can't be set is never closed. One that epoll_ctl could not add (ENOMEM; the JDK drops the error) is closed unanswered after 2.7 s.

--- a/app/src/test/java/ryemast/it/FaultsIT.java
+++ b/app/src/test/java/ryemast/it/FaultsIT.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -74,6 +75,55 @@
         }
     }
 
+    /** MINA slept for a second after each, and an error of the JVM ended the program. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @EnumSource(value = Faults.Call.class, names = {"WAKE_READ", "WAKE_WRITE"})
+    void aSelectorThatCouldNotBeWokenOrReadCostsNoSecond(Faults.Call call) throws Exception {
+        try (var faults = new Faults(); var platform = Platform.with(faults);
+                var client = platform.client()) {
+            served(platform, client, "load");
+            faults.failByChance(call, Faults.EIO, 4);
+            for (int i = 0; i < 20; i++) {
+                long waited = platform.waitedMillis();
+                long began = System.nanoTime();
+                served(platform, client, "sticker");
+                long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began)
+                        - (platform.waitedMillis() - waited);
+                assertTrue(took < SOON_MS, took + " ms");
+            }
+        }
+    }
+
+    /** An accepted connection whose options could not be set was never closed, and MINA slept for a second. */
+    @Tag("known-red")
+    @Test
+    void aConnectionWhoseOptionsCouldNotBeSetIsServedOrClosedSoon() throws Exception {
+        try (var faults = new Faults(); var platform = Platform.with(faults)) {
+            faults.fail(Faults.Call.OPTION, Faults.EINVAL, 1);
+            long began = System.nanoTime();
+            try (var wire = platform.client().send("GET /_health HTTP/1.1\r\n\r\n")) {
+                wire.read();
+            }
+            assertEquals("200", platform.health());
+            long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+            assertTrue(took < SOON_MS, took + " ms");
+        }
+    }
+
+    /** The JDK drops the error of epoll_ctl: the selector then never tells of that connection. */
+    @Tag("known-red")
+    @Test
+    void aConnectionThatCouldNotBeWatchedIsAnswered() throws Exception {
+        try (var faults = new Faults(); var platform = Platform.with(faults)) {
+            faults.fail(Faults.Call.WATCH, Faults.ENOMEM, 1);
+            try (var wire = platform.client().send("GET /_health HTTP/1.1\r\n\r\n")) {
+                wire.patience(3_000);
+                assertEquals("200", wire.read().status());
+            }
+        }
+    }
+
     /** The worker runs the job, and the answer that says so is lost on this side alone. */
     @Test
     void whereAnAnswerCouldNotBeReadTheWorkerIsAskedToDropTheJobBeforeItGoesOutAgain() throws Exception {
--- a/app/src/test/java/ryemast/it/SoakRun.java
+++ b/app/src/test/java/ryemast/it/SoakRun.java
@@ -58,6 +58,8 @@
     private static final long HELD_UP_MS = 100;
     private static final int COUNTED_DEADLINE_MS = 3_000;
     private static final int KILLED_AFTER_MS = 700;
+    /** For so long after SIGTERM new connections come. */
+    private static final long NEW_CONNECTIONS_MS = 300;
 
     private final Random random;
     private final SoakSettings settings;
@@ -228,6 +230,8 @@
         long killedAt = shared.endsSince + TimeUnit.MILLISECONDS.toNanos(
                 Math.min(COUNTED_DEADLINE_MS, settings.longestDeadlineMs()) + KILLED_AFTER_MS);
         Program.signal(process, "TERM");
+        Thread.sleep(NEW_CONNECTIONS_MS);
+        shared.frontClosed = true;
         for (var name : random.nextBoolean() ? List.of("HUP", "TERM") : List.of("TERM")) {
             Thread.sleep(random.nextInt(300));
             if (process.isAlive()) {
