Ask discovery again within the grace where its connection broke

Cause: what discovery writes counts as told when it is written, and a break was followed by the pause that is there for calls that discovery turned away. Class: a failure on the way and a failure at the other end were one case. ListKind.BROKEN names the former; ListCalls.broke asks again within 3 ms for each dispatcher, 0.3 s at most, twice until discovery is heard, and then as after any failure. An answer whose head had come makes the list outdated. Not covered: three breaks in a row, each with a list on its way.

--- a/app/src/test/java/ryemast/it/UnheardListIT.java
+++ b/app/src/test/java/ryemast/it/UnheardListIT.java
@@ -178,6 +178,24 @@
         }
     }
 
+    /** What discovery has written counts as notified at once, though it was lost with the connection. */
+    @Test
+    void afterAWatchBrokeDiscoveryIsAskedWithinTheGrace() throws Exception {
+        try (var platform = Platform.ofForty()) {
+            long before = platform.discovery.count("GET");
+            platform.listed("Terminating Ready");
+            long waited = platform.waitedMillis();
+            long brokeAt = System.nanoTime();
+            for (var wire : platform.discovery.wires) {
+                wire.reset();
+            }
+            until(() -> platform.discovery.count("GET") > before);
+            long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - brokeAt)
+                    - (platform.waitedMillis() - waited);
+            assertTrue(took < GRACE_MS, took + " ms");
+        }
+    }
+
     @Test
     void aDiscoveryThatWasMovedToAndAnswersNobodyHidesNoDrain() throws Exception {
         try (var platform = Platform.ofForty(); var elsewhere = new Peer(UnheardListIT::crowded)) {
--- a/core/src/main/java/ryemast/core/Members.java
+++ b/core/src/main/java/ryemast/core/Members.java
@@ -75,8 +75,17 @@
 
     /** The platform's discovery could not be asked, or its watch has ended. */
     public void discoveryFailed() {
+        failed(ListKind.FAILED);
+    }
+
+    /** The same, as the connection to it broke: it may have said something that was lost on its way. */
+    public void discoveryBroke() {
+        failed(ListKind.BROKEN);
+    }
+
+    private void failed(ListKind how) {
         membership.failed(loop.now(), DISCOVERY);
-        exchange.listed(ListKind.FAILED, List.of());
+        exchange.listed(how, List.of());
     }
 
     /** Another source has said something. */
--- a/decisions/src/main/java/pipitladder/Discovered.java
+++ b/decisions/src/main/java/pipitladder/Discovered.java
@@ -32,11 +32,11 @@
     /** Takes in an update of the list; after how long discovery is to be asked, or {@link #NO_CALL}. */
     long follow(ListKind kind, long now) {
         switch (kind) {
-            case FAILED -> {
+            case FAILED, BROKEN -> {
                 if (age.isHeard()) {
                     age.lost(now, now);
                 }
-                return calls.failed(now);
+                return kind == ListKind.BROKEN ? calls.broke(now) : calls.failed(now);
             }
             case CHANGES, COMPLETE -> {
                 calls.heard();
--- a/decisions/src/main/java/pipitladder/Dispatcher.java
+++ b/decisions/src/main/java/pipitladder/Dispatcher.java
@@ -63,9 +63,10 @@
     /**
      * How far a list update reaches; FAILED answers a call to the list that brought nothing, FORGOTTEN names
      * workers that have been gone for so long that nothing need be remembered of them, and AMENDED holds
-     * changes that discovery did not tell, such as an operator's drain.
+     * changes that discovery did not tell, such as an operator's drain. BROKEN is a call or watch that failed
+     * as its connection broke: discovery may have written something that was lost on its way.
      */
-    enum ListKind { CHANGES, COMPLETE, CACHED, FAILED, FORGOTTEN, AMENDED }
+    enum ListKind { CHANGES, COMPLETE, CACHED, FAILED, FORGOTTEN, AMENDED, BROKEN }
 
     /** Figures a worker may report, in the order of {@link Settings#reportFields}. */
     enum ReportField { IN_FLIGHT, QUEUED, UTILISATION, LATENCY_MS, PER_SECOND, ERRORS_PER_SECOND, FREE_SLOTS,
--- a/decisions/src/main/java/ryemast/pacing/ListCalls.java
+++ b/decisions/src/main/java/ryemast/pacing/ListCalls.java
@@ -18,6 +18,9 @@
  * <p>No wait is longer than {@link #LONGEST_WAIT}, however often calls have failed and whatever the time for
  * asking is: what discovery has counts as told 6 s after it could be reached again.
  *
+ * <p>What discovery has written counts as told, also where it was lost as the connection broke. So the first
+ * calls after that follow almost at once, spread out over no more than the grace that is left.
+ *
  * <p>Where lists are pushed, each dispatcher hears from an agent of its own, and what that has counts as
  * told whether or not anybody listens: nobody else's calls are in the way, so pauses are short and alike.
  */
@@ -64,12 +67,20 @@
      */
     private static final long PUSHED_PAUSE = 100_000;
 
+    /** Calls after a break that follow almost at once, until discovery is heard. */
+    private static final int QUICK_CALLS = 2;
+    /** How far they are spread, for each dispatcher and at most, in microseconds. */
+    private static final long QUICK_SPREAD = 3_000;
+    private static final long LONGEST_QUICK_SPREAD = 300_000;
+
     private final int self;
     private final int dispatchers;
     private final long askEvery;
     private final boolean pushed;
     private final SplittableRandom random;
     private int failures;
+    /** Of these, the ones whose connection broke. */
+    private int breaks;
     /** Of these, the ones after waiting in line. */
     private int inVain;
     /** When the call that is out was or is to be made. */
@@ -90,6 +101,7 @@
     /** Discovery has told something. */
     public void heard() {
         failures = 0;
+        breaks = 0;
         inVain = 0;
         askedAt = Long.MAX_VALUE;
     }
@@ -117,6 +129,17 @@
         return asksAfter(now, 1 + (long) (shortest * (1 + random.nextDouble())));
     }
 
+    /** The same where the connection of the call, or of what it began, broke. */
+    public long broke(long now) {
+        breaks++;
+        if (pushed || breaks > QUICK_CALLS) {
+            return failed(now);
+        }
+        failures++;
+        long spread = Math.min(LONGEST_QUICK_SPREAD, QUICK_SPREAD * dispatchers);
+        return asksAfter(now, 1 + (long) (spread * random.nextDouble()));
+    }
+
     /** The time that the call itself took is part of what passes between two calls. */
     private long longestWait(long now) {
         long took = Math.max(0, now - askedAt);
--- a/decisions/src/test/java/ryemast/pacing/ListCallsTest.java
+++ b/decisions/src/test/java/ryemast/pacing/ListCallsTest.java
@@ -134,6 +134,20 @@
         }
     }
 
+    /** What discovery had written counts as told, and nothing may be sent by the old list 0.5 s later. */
+    @Test
+    void afterABreakDiscoveryIsAskedWithinTheGraceTwiceAndThenAsAfterAnyFailure() {
+        for (int dispatchers : new int[] {1, 5, 100, 300}) {
+            var calls = calls(dispatchers - 1, dispatchers);
+            for (int i = 0; i < 2; i++) {
+                assertTrue(calls.broke(0) <= Math.min(3 * SECOND / 10, 3_000L * dispatchers) + 1);
+            }
+            assertTrue(calls.broke(0) > SECOND / 10);
+            calls.heard();
+            assertTrue(calls.broke(0) <= 3 * SECOND / 10 + 1);
+        }
+    }
+
     /** Guards the half second after a drain is told: an agent of one's own is asked again at once, always. */
     @Test
     void whereListsArePushedNoPauseGrowsOrDependsOnOthers() {
--- a/lab/src/main/java/ryemast/lab/compare/Blundering.java
+++ b/lab/src/main/java/ryemast/lab/compare/Blundering.java
@@ -28,7 +28,8 @@
 
     @Override
     public void handle(long now, Event event, Consumer<? super Action> out) {
-        if (event instanceof WorkerList list && list.kind() != ListKind.FAILED) {
+        if (event instanceof WorkerList list && list.kind() != ListKind.FAILED
+                && list.kind() != ListKind.BROKEN) {
             follow(list);
         }
         module.handle(now, event, action -> out.accept(action instanceof Send send ? perhaps(send) : action));
--- a/lab/src/main/java/ryemast/lab/fit/Collector.java
+++ b/lab/src/main/java/ryemast/lab/fit/Collector.java
@@ -196,7 +196,7 @@
         }
 
         private void listed(Entry.Listed e) {
-            if (e.kind() == ListKind.FAILED) {
+            if (e.kind() == ListKind.FAILED || e.kind() == ListKind.BROKEN) {
                 return;
             }
             if (firstList == null && e.kind() != ListKind.CHANGES && e.kind() != ListKind.AMENDED
--- a/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
+++ b/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
@@ -132,6 +132,8 @@
         private IoSession session;
         private Runnable alarm = () -> { };
         private long openedAt;
+        /** Whether the head of an answer with a list has come, and whether some of its body has. */
+        private boolean answering;
         private boolean heard;
 
         void open(long patience) {
@@ -163,18 +165,27 @@
         /** A failure or an end is told to the module, which decides when to ask again. */
         void fail(String why) {
             if (watch == this) {
-                warn(why);
-                lost();
-                watch = null;
-                close();
+                end(why);
                 members.discoveryFailed();
             }
         }
 
-        /** A call that was never answered leaves things as they were: discovery was lost before. */
+        private void end(String why) {
+            warn(why);
+            lost();
+            watch = null;
+            close();
+        }
+
+        /**
+         * A call that was never answered leaves things as they were: discovery was lost before. An answer
+         * that had begun counts as told, though its list did not come.
+         */
         private void lost() {
             if (heard) {
                 members.discoveryLost(heardAt);
+            } else if (answering) {
+                members.discoveryLost(loop.now() - ListAge.NOTIFIED_AFTER);
             }
         }
 
@@ -212,7 +223,10 @@
 
         @Override
         public void ended() {
-            fail("the connection ended");
+            if (watch == this) {
+                end("the connection ended");
+                members.discoveryBroke();
+            }
         }
 
         @Override
@@ -226,6 +240,8 @@
                 fail(e.getMessage());
             } else if (part == HttpCodec.END) {
                 fail("it ended");
+            } else if (part instanceof HttpHead) {
+                answering = true;
             } else if (part instanceof byte[] bytes) {
                 hasty = 0;
                 noteFirstWord();
