Take a worker's process as gone only after three refused connections in a row

Cause: the recall's first refused connection counted as the worker's end. Recalls asks again each 250 ms and believes the third refusal in a row. Recalled names what came of it, in place of a boolean.

--- a/app/src/test/java/ryemast/it/SoakRules.java
+++ b/app/src/test/java/ryemast/it/SoakRules.java
@@ -38,12 +38,18 @@
         private final Effect effect;
         private final long deadline;
         private final List<Attempt> attempts = new ArrayList<>();
+        /** What was seen of it, for whoever reads a breach. */
+        private final List<String> history = new ArrayList<>();
         private long leftAt = Long.MAX_VALUE;
 
         Job(Effect effect, long deadline) {
             this.effect = effect;
             this.deadline = deadline;
         }
+
+        private void note(String what) {
+            history.add(millis(System.nanoTime()) % 1_000_000 + " " + what);
+        }
     }
 
     private final boolean secondCopies;
@@ -92,6 +98,7 @@
             breach("unknown", txn + " at " + worker);
             return;
         }
+        job.note("arrives at " + worker);
         checkTimes(txn, job, worker, message, notifiedAt, tolerated);
         checkCopies(txn, job, worker);
         job.attempts.add(new Attempt(worker));
@@ -124,7 +131,7 @@
             breach("duplicate", txn + " must run once, may have run, and came to " + worker);
         }
         if (out >= (secondCopies ? 2 : 1)) {
-            breach("duplicate", txn + " came to " + worker + " while out " + out + " times");
+            breach("duplicate", txn + " came to " + worker + " while out " + out + " times " + job.history);
         }
     }
 
@@ -134,6 +141,7 @@
         if (job == null) {
             return;
         }
+        job.note(end + " at " + worker);
         for (int i = job.attempts.size() - 1; i >= 0; i--) {
             var attempt = job.attempts.get(i);
             if (attempt.worker.equals(worker)) {
--- a/app/src/test/java/ryemast/it/SoakWorker.java
+++ b/app/src/test/java/ryemast/it/SoakWorker.java
@@ -65,6 +65,11 @@
         }
         var txn = message.headers().get("x-txn");
         rules.arrived(id, message, notifiedAt.get());
+        if (wire.hasEnded()) {
+            // Given up before the 202.
+            rules.ended(id, txn, SoakRules.End.GIVEN_UP);
+            return;
+        }
         int choice = misbehaves ? drawn(100) : 99;
         if (drains || choice < 6) {
             rules.ended(id, txn, SoakRules.End.TURNED_AWAY);
--- a/app/src/test/java/ryemast/it/Wire.java
+++ b/app/src/test/java/ryemast/it/Wire.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
@@ -89,6 +90,22 @@
         return text.toString().strip();
     }
 
+    /** Whether the other side has ended the connection, and nothing is left to be read. */
+    boolean hasEnded() throws IOException {
+        int before = socket.getSoTimeout();
+        socket.setSoTimeout(1);
+        try {
+            in.mark(1);
+            int next = in.read();
+            in.reset();
+            return next < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } finally {
+            socket.setSoTimeout(before);
+        }
+    }
+
     /** How long a read waits for something to come. */
     void patience(int millis) throws IOException {
         socket.setSoTimeout(millis);
--- a/batch/src/main/java/ryemast/batch/BatchFront.java
+++ b/batch/src/main/java/ryemast/batch/BatchFront.java
@@ -15,6 +15,7 @@
 import ryemast.core.Note;
 import ryemast.core.Observer;
 import ryemast.core.Region;
+import ryemast.core.Recalled;
 import ryemast.core.RoutedTask;
 import ryemast.core.Submission;
 import ryemast.net.Addresses;
@@ -227,7 +228,7 @@
     }
 
     @Override
-    public boolean recall(RoutedTask task, Consumer<Boolean> answered) {
+    public boolean recall(RoutedTask task, Consumer<Recalled> answered) {
         return turns == null ? workers.recall(task, answered) : turns.recall(task, answered);
     }
 
--- a/batch/src/main/java/ryemast/batch/Turns.java
+++ b/batch/src/main/java/ryemast/batch/Turns.java
@@ -13,6 +13,7 @@
 import ryemast.core.Loop;
 import ryemast.core.Note;
 import ryemast.core.Region;
+import ryemast.core.Recalled;
 import ryemast.core.RoutedTask;
 import ryemast.core.Submission;
 import ryemast.core.Terminal;
@@ -243,7 +244,7 @@
     }
 
     @Override
-    public boolean recall(RoutedTask task, Consumer<Boolean> answered) {
+    public boolean recall(RoutedTask task, Consumer<Recalled> answered) {
         return !pending.contains(task) && workers.recall(task, answered);
     }
 
--- a/core/src/main/java/ryemast/core/Recalls.java
+++ b/core/src/main/java/ryemast/core/Recalls.java
@@ -13,6 +13,8 @@
 
     /** A worker that did not answer is asked again after so long, in microseconds. */
     private static final long AGAIN = 250_000;
+    /** Where nobody listens so often in a row, its process is gone; once may be a fault of this machine. */
+    private static final int REFUSALS = 3;
 
     private final Loop loop;
     private final BiConsumer<RoutedTask, Outcome> conclude;
@@ -42,26 +44,29 @@
 
     /** Whether the attempt, which is cancelled, goes on until its worker has answered. */
     boolean awaitsCancelled(RoutedTask task) {
-        return cancelled && !task.transaction.answered && (task.recalled || recall(task, Outcome.CANCELLED));
+        return cancelled && !task.transaction.answered
+                && (task.recalled || recall(task, Outcome.CANCELLED, 0));
     }
 
     /** Whether the attempt, which would end so, goes on until its worker has answered. */
     boolean awaitsBroken(RoutedTask task, Outcome outcome) {
         return outcome == Outcome.RESET && !task.transaction.answered
-                && broken.test(task.submission().jobClass()) && recall(task, outcome);
+                && broken.test(task.submission().jobClass()) && recall(task, outcome, 0);
     }
 
     /** False if there is nobody to ask. */
-    private boolean recall(RoutedTask task, Outcome outcome) {
-        task.recalled = !task.ended() && region.recall(task, answered -> recalled(task, outcome, answered));
+    private boolean recall(RoutedTask task, Outcome outcome, int refusals) {
+        task.recalled = !task.ended()
+                && region.recall(task, result -> recalled(task, outcome, refusals, result));
         return task.recalled;
     }
 
-    private void recalled(RoutedTask task, Outcome outcome, boolean answered) {
-        if (answered) {
+    private void recalled(RoutedTask task, Outcome outcome, int refusals, Recalled result) {
+        int inARow = result == Recalled.NOBODY_THERE ? refusals + 1 : 0;
+        if (result == Recalled.ANSWERED || inARow >= REFUSALS) {
             conclude.accept(task, outcome);
         } else if (!task.ended()) {
-            loop.at(loop.now() + AGAIN, () -> recall(task, outcome));
+            loop.at(loop.now() + AGAIN, () -> recall(task, outcome, inARow));
         }
     }
 }
--- a/core/src/main/java/ryemast/core/Region.java
+++ b/core/src/main/java/ryemast/core/Region.java
@@ -15,7 +15,7 @@
      *
      * @return false if there is nothing to ask, as the worker has not taken it yet: {@link #giveUp} is enough
      */
-    default boolean recall(RoutedTask task, Consumer<Boolean> answered) {
+    default boolean recall(RoutedTask task, Consumer<Recalled> answered) {
         return false;
     }
 }
--- a/firing/src/main/java/ryemast/firing/Firing.java
+++ b/firing/src/main/java/ryemast/firing/Firing.java
@@ -18,6 +18,7 @@
 import ryemast.core.Loop;
 import ryemast.core.Note;
 import ryemast.core.Region;
+import ryemast.core.Recalled;
 import ryemast.core.RoutedTask;
 import ryemast.core.Terminal;
 import ryemast.core.Transaction;
@@ -322,7 +323,7 @@
     }
 
     @Override
-    public boolean recall(RoutedTask task, Consumer<Boolean> answered) {
+    public boolean recall(RoutedTask task, Consumer<Recalled> answered) {
         return workers.recall(task, answered);
     }
 
--- a/net/src/main/java/ryemast/net/worker/Call.java
+++ b/net/src/main/java/ryemast/net/worker/Call.java
@@ -6,6 +6,7 @@
 import pipitladder.Dispatcher.Outcome;
 import ryemast.core.Exchange;
 import ryemast.core.Note;
+import ryemast.core.Recalled;
 import ryemast.core.RoutedTask;
 import ryemast.net.http.HttpHead;
 import ryemast.net.http.HttpMessage;
@@ -20,8 +21,8 @@
     private final Exchange exchange;
     private final RoutedTask task;
     private final long startedAt;
-    /** Who is told whether a cancel was answered; null for an attempt. */
-    private final Consumer<Boolean> heard;
+    /** Who is told what came of a cancel; null for an attempt. */
+    private final Consumer<Recalled> heard;
     private final boolean mindsAnswers;
     private boolean begun;
 
@@ -36,11 +37,11 @@
     }
 
     /**
-     * A cancel; {@code heard} is told once whether it was answered.
+     * A cancel; {@code heard} is told once what came of it.
      *
      * @param mindsAnswers  whether another call's answer must not be taken for this one's
      */
-    Call(HttpMessage cancel, Consumer<Boolean> heard, boolean mindsAnswers, long startedAt) {
+    Call(HttpMessage cancel, Consumer<Recalled> heard, boolean mindsAnswers, long startedAt) {
         exchange = null;
         task = null;
         message = () -> cancel;
@@ -109,14 +110,14 @@
             }
             exchange.ended(task, Outcomes.ofBreak(written));
         } else {
-            heard.accept(false);
+            heard.accept(Recalled.UNANSWERED);
         }
     }
 
-    /** Nobody listens at the worker's address: its process is gone, and all that it had. */
+    /** Nobody listens at the worker's address. */
     void foundNobody() {
         if (task == null) {
-            heard.accept(true);
+            heard.accept(Recalled.NOBODY_THERE);
         } else {
             broke(false);
         }
@@ -124,7 +125,7 @@
 
     void answered(HttpHead head) {
         if (task == null) {
-            heard.accept(true);
+            heard.accept(Recalled.ANSWERED);
             return;
         }
         int status = head.status();
--- a/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -22,6 +22,7 @@
 import ryemast.core.Loop;
 import ryemast.core.Note;
 import ryemast.core.Region;
+import ryemast.core.Recalled;
 import ryemast.core.RoutedTask;
 import ryemast.net.Addresses;
 import ryemast.net.Dialer;
@@ -115,7 +116,7 @@
     /** A cancel that is not answered is sent again, as the worker may still have the job. */
     private void drop(RoutedTask task, InetSocketAddress address, int tries) {
         call(address, new Call(deletion(task, address), answered -> {
-            if (!answered && tries > 1) {
+            if (answered != Recalled.ANSWERED && tries > 1) {
                 loop.at(loop.now() + DROP_AGAIN, () -> drop(task, address, tries - 1));
             }
         }, false, loop.now()));
@@ -126,7 +127,7 @@
      * come there: the answer to a message that was sent after it does.
      */
     @Override
-    public boolean recall(RoutedTask task, Consumer<Boolean> answered) {
+    public boolean recall(RoutedTask task, Consumer<Recalled> answered) {
         var carrier = (WorkerConnection) task.carrier();
         boolean carries = carrier != null && carrier.call != null && carrier.call.carries(task);
         if (carrier == null || carries && !carrier.call.hasBegun()) {
