--- a/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
@@ -16,8 +16,8 @@
  * MINA's processor, which takes a read or write that a signal interrupted for the end of the connection
  * (the JDK's channels return a negative count other than -1 then). Here it moved nothing, and is tried again.
  *
- * <p>It goes on at once where the system fails its selector, and watches a connection anew that the system may
- * not have watched: the JDK drops the error of epoll_ctl, and such a connection would stay silent for good.
+ * <p>It goes on at once where the system fails its selector, and watches a connection anew that the system
+ * may not have watched: the JDK drops the error of epoll_ctl, and such a connection would stay silent.
  *
  * <p>It also looks, where it is asked to, whether anything has come on a connection before something is
  * written to it. In MINA's package, so that the compiler checks what it overrides.
