--- a/app/src/test/java/ryemast/it/FaultsIT.java
+++ b/app/src/test/java/ryemast/it/FaultsIT.java
@@ -93,7 +93,7 @@
         }
     }
 
-    /** An accepted connection whose options could not be set was never closed, and MINA slept for a second. */
+    /** An accepted connection whose options could not be set was never closed; MINA slept for a second. */
     @Test
     void aConnectionWhoseOptionsCouldNotBeSetIsServedOrClosedSoon() throws Exception {
         try (var faults = new Faults(); var platform = Platform.with(faults)) {
