Let no short selection pass for the JDK's fault of empty ones

Cause: SocketProcessor.select returned nothing after 20 ms while a new connection had said nothing, which MINA takes for the JDK's spinning selector: after ten it makes a new one and registers every connection anew, and epoll_ctl failed for some. It returns only when something was found, when woken, or after the whole time.

--- a/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -32,6 +33,7 @@
 
     /** Connections that have said nothing yet, with when they came up; for the one thread that reads. */
     private final Map<NioSession, Long> unheard = new LinkedHashMap<>();
+    private final AtomicBoolean woken = new AtomicBoolean();
 
     /** As MINA's pools make their processors. */
     public SocketProcessor(Executor executor) {
@@ -52,15 +54,28 @@
         unheard.put(session, System.nanoTime());
     }
 
+    /**
+     * Returns only with what was found, when woken, or after the whole time: MINA takes selections that find
+     * nothing sooner than that for a fault of the JDK's, and makes a new selector.
+     */
     @Override
     protected int select(long timeout) throws Exception {
-        int found = watchAnew();
-        long wait = unheard.isEmpty() ? timeout : Math.min(timeout, WATCHED_ANEW_MS);
-        return found + FaultySelector.select(() -> found > 0 ? super.select() : super.select(wait));
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeout);
+        while (true) {
+            int found = watchAnew();
+            long left = Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime()));
+            long wait = found > 0 || !unheard.isEmpty() ? Math.min(left, WATCHED_ANEW_MS) : left;
+            found += FaultySelector.select(() -> super.select(wait));
+            boolean wasWoken = woken.getAndSet(false);
+            if (found > 0 || wasWoken || left <= wait) {
+                return found;
+            }
+        }
     }
 
     @Override
     protected void wakeup() {
+        woken.set(true);
         FaultySelector.wake(super::wakeup);
     }
 
