Do not let a wake-up be lost while a connection is watched anew

SocketProcessor.watchAnew selects once by itself, which may consume a wake-up; the selection after it could then wait for a second with writes to be done.

--- a/core/src/main/java/ryemast/core/Recalls.java
+++ b/core/src/main/java/ryemast/core/Recalls.java
@@ -13,8 +13,8 @@
 
     /** A worker that did not answer is asked again after so long, in microseconds. */
     private static final long AGAIN = 250_000;
-    /** Where nobody listens so often in a row, its process is gone; once may be a fault of this machine. */
-    private static final int REFUSALS = 3;
+    /** Where nobody listens so often in a row, its process is gone; a few may be faults of this machine. */
+    private static final int REFUSALS = 5;
 
     private final Loop loop;
     private final BiConsumer<RoutedTask, Outcome> conclude;
--- a/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
@@ -64,7 +64,9 @@
         while (true) {
             int found = watchAnew();
             long left = Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime()));
-            long wait = found > 0 || !unheard.isEmpty() ? Math.min(left, WATCHED_ANEW_MS) : left;
+            // To watch a connection anew takes a selection of its own, which a wake-up may have ended.
+            long most = found > 0 || woken.get() ? 1 : unheard.isEmpty() ? left : WATCHED_ANEW_MS;
+            long wait = Math.min(left, most);
             found += FaultySelector.select(() -> super.select(wait));
             boolean wasWoken = woken.getAndSet(false);
             if (found > 0 || wasWoken || left <= wait) {
