--- a/decisions/src/main/java/pipitladder/Reach.java
+++ b/decisions/src/main/java/pipitladder/Reach.java
@@ -19,7 +19,7 @@
  */
 final class Reach {
 
-    /** The largest list that was measured whole; a worker's connection and books cost some memory as well. */
+    /** Of a longer list a subset is used: each worker's connection and statistics cost memory. */
     static final int ROOM = 200;
     /** The second of two random choices takes most of the crowding off; more follow what all know. */
     private static final int CANDIDATES = 2;
--- a/decisions/src/main/java/ryemast/pacing/ListCalls.java
+++ b/decisions/src/main/java/ryemast/pacing/ListCalls.java
@@ -18,7 +18,7 @@
  * <p>No wait is longer than {@link #LONGEST_WAIT}, however often calls have failed and whatever the time for
  * asking is: what discovery has counts as told 6 s after it could be reached again.
  *
- * <p>What discovery has written counts as told, also where it was lost as the connection broke. So the first
+ * <p>A dispatcher is notified of what discovery has written, also where it was lost as the connection broke. So the first
  * calls after that follow almost at once, spread out over no more than the grace that is left.
  *
  * <p>Where lists are pushed, each dispatcher hears from an agent of its own, and what that has counts as
@@ -28,8 +28,7 @@
 
     /**
      * Of the time within which the list must be asked: how far apart the first calls are, dispatcher by
-     * dispatcher. 40 calls a second for a list of 66 were answered within 0.3 s; one that fails costs a
-     * pause.
+     * dispatcher, as one that fails costs a pause.
      */
     private static final double TURN = 0.0025;
     /** Of the same: the pause after one failure, for each dispatcher. */
@@ -54,12 +53,9 @@
     private static final double WINDOW = 0.25;
     /** Of the longest wait: what a window may last at most, so that the whole wave is within it. */
     private static final double WINDOW_OF_WAIT = 0.9;
-    /**
-     * Of a window: how far a wave is spread, so that 150 calls are 600 a second. A fifth costs a tenth of
-     * the answers at four calls a second, a tenth none.
-     */
+    /** Of a window: how far a wave is spread, so that 150 calls are 600 a second. */
     private static final double WAVE = 0.1;
-    /** More windows than one for so many dispatchers are in nobody's favour: four calls a second do these. */
+    /** One window for so many dispatchers. */
     private static final int CALLS_A_WINDOW = 10;
     /**
      * The pause where lists are pushed, in microseconds: a drain is told at once then, and nothing new may
--- a/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
+++ b/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
@@ -32,10 +32,7 @@
     private static final Logger LOG = Logger.getLogger(DiscoveryWatch.class.getName());
     /** With the 3.2 s that a silence takes to notice, both of these are over when what is missed is told. */
     private static final int MOST_HASTY = 2;
-    /**
-     * How long a call may take to its first word where time is short, in microseconds: 40 calls a second
-     * were answered within 0.3 s.
-     */
+    /** How long a call may take to its first word where time is short, in microseconds. */
     private static final long FIRST_WORD = 1_400_000;
 
     private final Loop loop;
