--- a/decisions/src/main/java/ryemast/pacing/ListCalls.java
+++ b/decisions/src/main/java/ryemast/pacing/ListCalls.java
@@ -18,8 +18,8 @@
  * <p>No wait is longer than {@link #LONGEST_WAIT}, however often calls have failed and whatever the time for
  * asking is: what discovery has counts as told 6 s after it could be reached again.
  *
- * <p>A dispatcher is notified of what discovery has written, also where it was lost as the connection broke. So the first
- * calls after that follow almost at once, spread out over no more than the grace that is left.
+ * <p>A dispatcher is notified of what discovery has written, also where it was lost as the connection broke.
+ * So the first calls after that follow almost at once, spread out over no more than the grace that is left.
  *
  * <p>Where lists are pushed, each dispatcher hears from an agent of its own, and what that has counts as
  * told whether or not anybody listens: nobody else's calls are in the way, so pauses are short and alike.
