--- a/net/src/main/java/ryemast/net/client/ClientServer.java
+++ b/net/src/main/java/ryemast/net/client/ClientServer.java
@@ -78,7 +78,8 @@
         acceptor.setReuseAddress(true);
         acceptor.setCloseOnDeactivation(false);
         acceptor.setBacklog(tuning.backlog());
-        Transport.setUpWithoutOptions(acceptor.getSessionConfig(), acceptor.getFilterChain(), HttpCodec.requests());
+        Transport.setUpWithoutOptions(acceptor.getSessionConfig(), acceptor.getFilterChain(),
+                HttpCodec.requests());
         acceptor.setHandler(new Handler());
         loop.at(loop.now() + SWEEP, this::sweep);
     }
