Ask a worker to drop a request only once its connection has ended here

Found by reading: WorkerConnectionPool.recall closed the connection of a request that had not been answered and sent the cancel at once on another one. Until the thread that writes has ended the connection it may still write the request, which would then come behind its own cancel and run beside the next attempt. The same class as the incident's duplicate: an order between two threads that was assumed. Change: the cancel goes out at the connection's end, and not at all where the request was not written whole. RecallTest: a request that waits to be written as it is recalled ends without a word to the worker; the order of close and cancel is asked for; a worker is believed gone the fifth time it refuses (that had no test). The window of the write itself has no test.

--- a/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -124,7 +124,8 @@
 
     /**
      * Before the worker has answered, the connection's end gives the attempt up, but nobody tells when it has
-     * come there: the answer to a message that was sent after it does.
+     * come there: the answer to a message that was sent after it does. That is sent once the connection has
+     * ended here, as the request may still be written until then, and would overtake the message.
      */
     @Override
     public boolean recall(RoutedTask task, Consumer<Recalled> answered) {
@@ -134,13 +135,23 @@
             return false;
         }
         if (carries) {
-            carrier.call = null;
-            carrier.close();
+            carrier.endFor(written -> {
+                if (written) {
+                    ask(task, carrier.address, answered);
+                } else {
+                    answered.accept(Recalled.ANSWERED);
+                }
+            });
+        } else {
+            ask(task, carrier.address, answered);
         }
-        call(carrier.address, new Call(deletion(task, carrier.address), answered, true, loop.now()));
         return true;
     }
 
+    private void ask(RoutedTask task, InetSocketAddress address, Consumer<Recalled> answered) {
+        call(address, new Call(deletion(task, address), answered, true, loop.now()));
+    }
+
     private static HttpMessage deletion(RoutedTask task, InetSocketAddress address) {
         var head = HttpHead.request("DELETE", "/jobs/" + encoded(task.submission().txn()))
                 .with("Host", Addresses.text(address));
@@ -242,6 +253,8 @@
         /** For how long it had rested before the call that it carries; negative for its first one. */
         private long restBefore = -1;
         private boolean closed;
+        /** Who, in place of the call, is told at the end whether its last byte was written; or null. */
+        private Consumer<Boolean> recalled;
 
         WorkerConnection(InetSocketAddress address) {
             this.address = address;
@@ -353,10 +366,19 @@
             }
         }
 
+        /** Ends it under its call, which is recalled: {@code then} is told in place of it. */
+        void endFor(Consumer<Boolean> then) {
+            recalled = then;
+            close();
+        }
+
         private void conclude(boolean written) {
             var broken = call;
             call = null;
-            if (broken != null) {
+            if (recalled != null) {
+                recalled.accept(written);
+                recalled = null;
+            } else if (broken != null) {
                 broken.broke(written);
             }
         }
--- a/net/src/test/java/ryemast/net/worker/RecallTest.java
+++ b/net/src/test/java/ryemast/net/worker/RecallTest.java
@@ -33,6 +33,7 @@
 import ryemast.core.Submission;
 import ryemast.core.Terminal;
 import ryemast.net.DrivenLoop;
+import ryemast.net.HeldProcessor;
 import ryemast.net.Transport;
 
 /**
@@ -50,16 +51,20 @@
     private final DrivenLoop driven = new DrivenLoop();
     private final List<Outcome> outcomes = new ArrayList<>();
     private final Exchange exchange = new Exchange(driven.loop, new CancelWhenAsked(), 9, 9, 0);
+    private final Transport transport = new Transport();
     private ServerSocket worker;
 
-    /** A module that sends each job at once, and takes the first one back when peers tell something. */
+    /** A module that sends each job at once, and takes the latest one back when peers tell something. */
     private final class CancelWhenAsked implements Dispatcher {
+        private long latest;
+
         @Override
         public void handle(long now, Event event, Consumer<? super Action> out) {
             if (event instanceof Request request) {
-                out.accept(new Send(request.id(), "w", 0));
+                latest = request.id();
+                out.accept(new Send(latest, "w", 0));
             } else if (event instanceof PeersTold) {
-                out.accept(new Cancel(1, 0));
+                out.accept(new Cancel(latest, 0));
             } else if (event instanceof AttemptEnded ended) {
                 outcomes.add(ended.outcome());
             }
@@ -82,7 +87,7 @@
         worker = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
         worker.setSoTimeout(PATIENCE_MS);
         var address = new InetSocketAddress(worker.getInetAddress(), worker.getLocalPort());
-        exchange.connect(new WorkerConnectionPool(driven.loop, exchange, new Transport(), id -> address,
+        exchange.connect(new WorkerConnectionPool(driven.loop, exchange, transport, id -> address,
                 SECOND, 5 * SECOND, 9, WorkerTuning.DEFAULT), () -> { });
         exchange.listed(ListKind.COMPLETE, List.of(new WorkerInfo("w", WorkerState.READY, 0, 0, 0, 1, 0)));
         exchange.submit(new Submission("t", 0, 0, 1, 0, 0, driven.loop.now() + 60 * SECOND, "/api/k",
@@ -178,9 +183,11 @@
         try (var wire = worker.accept()) {
             received(wire);
             cancel();
+            // The message goes out once the connection has ended.
+            assertTrue(wire.getInputStream().read() < 0);
+            driven.turnFor(50);
             try (var next = worker.accept()) {
                 assertTrue(received(next).startsWith("DELETE /jobs/t "));
-                assertTrue(wire.getInputStream().read() < 0);
                 assertEquals(List.of(), outcomes);
                 next.getOutputStream().write(TAKEN);
                 driven.until(() -> outcomes.equals(List.of(Outcome.CANCELLED)));
@@ -197,4 +204,42 @@
         driven.loop.turn();
         assertEquals(List.of(Outcome.CANCELLED), outcomes);
     }
+
+    /** The request waits to be written as the attempt is cancelled: it never comes there. */
+    @Test
+    void aRequestThatWasNotWrittenByTheConnectionsEndNeedsNoAnswer() throws Exception {
+        exchange.awaitRecalls();
+        try (var wire = taken(); var held = new HeldProcessor(transport, driven)) {
+            held.catchNext();
+            held.awaitHeld();
+            exchange.submit(new Submission("u", 0, 0, 1, 0, 0, driven.loop.now() + 60 * SECOND, "/api/u",
+                    new byte[0]), new NoTerminal());
+            driven.loop.turn();
+            exchange.told(new PeersTold(Map.of()));
+            driven.loop.turn();
+            assertEquals(List.of(), outcomes);
+            held.release();
+            driven.turnFor(100);
+            assertEquals(List.of(Outcome.CANCELLED), outcomes);
+            assertEquals(-1, wire.getInputStream().read(), "something was written");
+        }
+    }
+
+    /** One refused connection may be a fault of this machine. */
+    @Test
+    void aWorkerThatRefusesConnectionsIsBelievedGoneTheFifthTime() throws Exception {
+        exchange.awaitRecalls();
+        var wire = taken();
+        worker.close();
+        cancel();
+        assertTrue(received(wire).startsWith("DELETE /jobs/t "));
+        wire.close();
+        driven.turnFor(50);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(List.of(), outcomes, "after " + i);
+            driven.pass(250_000);
+            driven.turnFor(50);
+        }
+        assertEquals(List.of(Outcome.CANCELLED), outcomes);
+    }
 }
