Go by the list as it was while discovery can't be reached at all

Cause: ListAge took an outage for a discovery that answers others. A change counts as notified 6 s after discovery had it and could be reached, so that nobody is notified of anything in an outage. Change: three calls in a row for which no connection came up, over 2 s at least, put the limit off to 6 s after the latest of them; a call that is turned away ends that. Brain refuses at once only where no listed worker has proven itself. ListKind says itself which updates are whole and which are failures; six places listed them. A head without a list counts as notified only where its connection broke.

--- a/app/src/main/java/ryemast/record/Encoder.java
+++ b/app/src/main/java/ryemast/record/Encoder.java
@@ -195,7 +195,7 @@
     }
 
     private void follow(ListKind kind, List<WorkerInfo> workers) {
-        if (kind == ListKind.COMPLETE || kind == ListKind.CACHED) {
+        if (kind.isWhole()) {
             listed.clear();
         }
         for (var worker : workers) {
--- a/app/src/test/java/ryemast/it/UnheardListIT.java
+++ b/app/src/test/java/ryemast/it/UnheardListIT.java
@@ -196,6 +196,19 @@
         }
     }
 
+    /** An outage of discovery must not stop a site that has been quiet: nobody is notified meanwhile. */
+    @Test
+    void whileDiscoveryCannotBeReachedAQuietDispatcherGoesOnServing() throws Exception {
+        try (var platform = new Platform()) {
+            platform.discovery.close();
+            Thread.sleep(NOTIFIED_MS + 2_000);
+            try (var client = platform.client()) {
+                platform.done(platform.job(client, "sticker", 5_000), "x");
+                assertEquals("200", client.read().status());
+            }
+        }
+    }
+
     @Test
     void aDiscoveryThatWasMovedToAndAnswersNobodyHidesNoDrain() throws Exception {
         try (var platform = Platform.ofForty(); var elsewhere = new Peer(UnheardListIT::crowded)) {
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -294,7 +294,7 @@
 
     /** What the service table says; the module follows it before its next round. */
     public void listed(ListKind kind, List<WorkerInfo> workers) {
-        if (kind == ListKind.COMPLETE || kind == ListKind.CACHED) {
+        if (kind.isWhole()) {
             listedWorkers.replaceAll((worker, state) -> WorkerState.GONE);
         }
         workers.forEach(worker -> listedWorkers.put(worker.id(), worker.state()));
--- a/core/src/main/java/ryemast/core/Members.java
+++ b/core/src/main/java/ryemast/core/Members.java
@@ -83,6 +83,11 @@
         failed(ListKind.BROKEN);
     }
 
+    /** The same, as no connection to it came up. */
+    public void discoveryUnreachable() {
+        failed(ListKind.UNREACHABLE);
+    }
+
     private void failed(ListKind how) {
         membership.failed(loop.now(), DISCOVERY);
         exchange.listed(how, List.of());
--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -136,7 +136,7 @@
         } else if (event instanceof WorkerList list) {
             follow(list);
         } else if (event instanceof DiscoveryLost lost) {
-            discovered.age().lost(lost.heardAt(), now);
+            discovered.lost(lost.heardAt(), now);
         } else if (event instanceof ClientGone gone) {
             close(jobs.get(gone.request()));
         } else if (event instanceof ProbeEnded probe && probe.healthy()) {
@@ -244,7 +244,7 @@
                 && job.attempts.size() < settings.limits().maxAttempts() && !job.mayStillBeAt(worker)
                 && (job.outstanding == 0 || settings.limits().secondCopies() && job.outstanding == 1)
                 && (harmless(job) || keyRemembered(job) && job.keyReaches(worker.info))
-                && discovered.age().permits(worker.health.provenAt(), now) && coldAllows(job, worker);
+                && discovered.permits(worker, now) && coldAllows(job, worker);
     }
 
     /** Guards against an effect that happens twice: an earlier attempt may have run, or still run. */
@@ -285,7 +285,7 @@
         }
         worker.sent(now, Math.max(job.work, jobWork.mean), settings.rules().coldWindow());
         var attempt = worker.take(new Attempt(job, worker, now, now + (long) (worker.queueing * SECOND),
-                discovered.age().usableUntil(worker.health.provenAt())));
+                discovered.usableUntil(worker)));
         out.accept(new Send(job.request.id(), worker.id, 0, attempt.beginBy));
         tellPeers(job, worker);
         arm("sweep", sweepEvery, this::sweep);
@@ -483,8 +483,7 @@
         var best = choose(job, null);
         boolean misses = best == null || now + finish(best, job) * SECOND > job.aimAt;
         boolean over = now + 2 * period >= job.deadline || now > job.aimAt && job.jobClass.lateWorth() == 0;
-        // Its client may well find a dispatcher that knows more.
-        boolean outdated = best == null && discovered.age().isOutdated(now);
+        boolean outdated = best == null && discovered.isOutdatedFor(reach.listed(), now);
         if (misses && asksWorkers && job.draws < DRAWS && !over) {
             probeFor(job);
             gather(job);
@@ -677,7 +676,7 @@
         if (wait != Discovered.NO_CALL) {
             arm("ask", wait, () -> out.accept(new Subscribe()));
         }
-        if (list.kind() == ListKind.COMPLETE || list.kind() == ListKind.CACHED) {
+        if (list.kind().isWhole()) {
             workers.values().forEach(Worker::unlist);
         }
         list.workers().forEach(list.kind() == ListKind.FORGOTTEN ? this::forget : this::update);
--- a/decisions/src/main/java/pipitladder/Dispatcher.java
+++ b/decisions/src/main/java/pipitladder/Dispatcher.java
@@ -60,13 +60,35 @@
     /** What the list says of a worker. */
     enum WorkerState { READY, DRAINING, GONE }
 
-    /**
-     * How far a list update reaches; FAILED answers a call to the list that brought nothing, FORGOTTEN names
-     * workers that have been gone for so long that nothing need be remembered of them, and AMENDED holds
-     * changes that discovery did not tell, such as an operator's drain. BROKEN is a call or watch that failed
-     * as its connection broke: discovery may have written something that was lost on its way.
-     */
-    enum ListKind { CHANGES, COMPLETE, CACHED, FAILED, FORGOTTEN, AMENDED, BROKEN }
+    /** How far a list update reaches, or how a call for the list failed. */
+    enum ListKind {
+        /** What has changed, as discovery tells it. */
+        CHANGES,
+        /** All workers, as discovery tells them: one that is left out is gone. */
+        COMPLETE,
+        /** All workers as they were last known, before discovery was asked. */
+        CACHED,
+        /** A call brought nothing, or what it began has ended. */
+        FAILED,
+        /** Workers that have been gone for so long that nothing need be remembered of them. */
+        FORGOTTEN,
+        /** Changes that discovery did not tell, such as an operator's drain. */
+        AMENDED,
+        /** A call failed as its connection broke: what discovery wrote may have been lost on its way. */
+        BROKEN,
+        /** A call failed as no connection to discovery came up. */
+        UNREACHABLE;
+
+        /** Whether a worker that the update leaves out is gone. */
+        public boolean isWhole() {
+            return this == COMPLETE || this == CACHED;
+        }
+
+        /** Whether it holds no workers, as a call failed. */
+        public boolean isFailure() {
+            return this == FAILED || this == BROKEN || this == UNREACHABLE;
+        }
+    }
 
     /** Figures a worker may report, in the order of {@link Settings#reportFields}. */
     enum ReportField { IN_FLIGHT, QUEUED, UTILISATION, LATENCY_MS, PER_SECOND, ERRORS_PER_SECOND, FREE_SLOTS,
--- a/decisions/src/main/java/ryemast/membership/ListAge.java
+++ b/decisions/src/main/java/ryemast/membership/ListAge.java
@@ -9,6 +9,8 @@
  * that was sent, and if it began to since then, it does not count as notified yet. A job proves this only if
  * it was sent after discovery was lost, as what a broken watch missed counts as notified earlier.
  *
+ * <p>Where discovery can't be reached at all, nothing counts as notified: the list is as good as it was.
+ *
  * <p>Times are microseconds on the dispatcher's clock. Owned by whoever owns the list.
  */
 public final class ListAge {
@@ -22,15 +24,36 @@
      * ask discovery, and for an answer.
      */
     public static final long FIRST_LIST = 3_000_000;
+    /** So many calls in a row for which no connection came up, over so long, are no fault of a moment. */
+    private static final int UNREACHABLE_CALLS = 3;
+    private static final long UNREACHABLE_FOR = 2_000_000;
     /** A time that never comes. */
     public static final long NEVER = Long.MAX_VALUE;
 
     private long outdatedAt = NEVER;
     private long lostAt;
+    private int unreachableCalls;
+    private long unreachableSince;
 
     /** Discovery has said what there is, or what has changed. */
     public void heard() {
         outdatedAt = NEVER;
+        unreachableCalls = 0;
+    }
+
+    /** A call for the list has failed otherwise than by {@link #unreachable}. */
+    public void failed() {
+        unreachableCalls = 0;
+    }
+
+    /** A call for the list has failed as no connection to discovery came up. */
+    public void unreachable(long now) {
+        unreachableSince = unreachableCalls == 0 ? now : unreachableSince;
+        unreachableCalls++;
+        boolean lasts = unreachableCalls >= UNREACHABLE_CALLS && now - unreachableSince >= UNREACHABLE_FOR;
+        if (!isHeard() && lasts) {
+            outdatedAt = Math.max(outdatedAt, now + NOTIFIED_AFTER);
+        }
     }
 
     /** Discovery is not listened to any more; its last word came at {@code heardAt}. */
--- a/decisions/src/test/java/pipitladder/UnheardListTest.java
+++ b/decisions/src/test/java/pipitladder/UnheardListTest.java
@@ -70,6 +70,20 @@
         assertNotNull(placed());
     }
 
+    /** An outage must not stop a site that was quiet before: nobody is told of anything then. */
+    @Test
+    void inAnOutageJobsGoByTheListAsItWas() {
+        stage.tell(new DiscoveryLost(stage.now));
+        for (int i = 0; i < 30; i++) {
+            stage.pass(2 * S);
+            stage.tell(new WorkerList(ListKind.UNREACHABLE, List.of()));
+        }
+        assertNotNull(placed());
+        stage.tell(new WorkerList(ListKind.FAILED, List.of()));
+        stage.pass(6 * S);
+        assertNull(placed());
+    }
+
     /** In the simulator nothing tells when discovery was last heard. */
     @Test
     void aFailedCallAloneCountsFromThen() {
--- a/decisions/src/test/java/ryemast/membership/ListAgeTest.java
+++ b/decisions/src/test/java/ryemast/membership/ListAgeTest.java
@@ -54,6 +54,32 @@
         assertEquals(16 * S, age.usableUntil(13 * S - 1));
     }
 
+    /** One failure may be this machine's; from the third on nobody can have been notified. */
+    @Test
+    void whileNoConnectionComesUpTheListIsAsGoodAsItWas() {
+        age.lost(10 * S, 10 * S);
+        age.unreachable(11 * S);
+        age.unreachable(11 * S + 1);
+        age.unreachable(13 * S - 1);
+        assertTrue(age.isOutdated(16 * S));
+        age.unreachable(17 * S);
+        assertFalse(age.isOutdated(23 * S - 1));
+        assertTrue(age.isOutdated(23 * S));
+        age.unreachable(30 * S);
+        assertTrue(age.permits(UNPROVEN, 36 * S - 1));
+    }
+
+    @Test
+    void aCallThatIsTurnedAwayEndsThatCount() {
+        age.lost(10 * S, 10 * S);
+        age.unreachable(11 * S);
+        age.unreachable(12 * S);
+        age.failed();
+        age.unreachable(14 * S);
+        age.unreachable(15 * S);
+        assertTrue(age.isOutdated(16 * S));
+    }
+
     @Test
     void aProofIsNeverWorthLessThanTheListItself() {
         age.lost(10 * S, 10 * S);
--- a/lab/src/main/java/ryemast/lab/compare/Blundering.java
+++ b/lab/src/main/java/ryemast/lab/compare/Blundering.java
@@ -28,15 +28,14 @@
 
     @Override
     public void handle(long now, Event event, Consumer<? super Action> out) {
-        if (event instanceof WorkerList list && list.kind() != ListKind.FAILED
-                && list.kind() != ListKind.BROKEN) {
+        if (event instanceof WorkerList list && !list.kind().isFailure()) {
             follow(list);
         }
         module.handle(now, event, action -> out.accept(action instanceof Send send ? perhaps(send) : action));
     }
 
     private void follow(WorkerList list) {
-        if (list.kind() != ListKind.CHANGES && list.kind() != ListKind.AMENDED) {
+        if (list.kind().isWhole()) {
             ready.clear();
         }
         for (var worker : list.workers()) {
--- a/lab/src/main/java/ryemast/lab/compare/JarModule.java
+++ b/lab/src/main/java/ryemast/lab/compare/JarModule.java
@@ -188,12 +188,12 @@
             case CHANGES, AMENDED -> "patch";
             case COMPLETE -> "whole";
             case CACHED -> "stale_copy";
-            case FAILED, BROKEN -> "broken";
+            case FAILED, BROKEN, UNREACHABLE -> "broken";
             case FORGOTTEN ->
                     throw new IllegalArgumentException("the wire has no word for workers forgotten");
         });
         view.addProperty("serial", list);
-        if (told.kind() != ListKind.FAILED && told.kind() != ListKind.BROKEN) {
+        if (!told.kind().isFailure()) {
             var census = message("census", "ref", 0);
             var entries = new JsonArray();
             for (var worker : told.workers()) {
--- a/lab/src/main/java/ryemast/lab/fit/Collector.java
+++ b/lab/src/main/java/ryemast/lab/fit/Collector.java
@@ -196,11 +196,10 @@
         }
 
         private void listed(Entry.Listed e) {
-            if (e.kind() == ListKind.FAILED || e.kind() == ListKind.BROKEN) {
+            if (e.kind().isFailure()) {
                 return;
             }
-            if (firstList == null && e.kind() != ListKind.CHANGES && e.kind() != ListKind.AMENDED
-                    && !e.workers().isEmpty()) {
+            if (firstList == null && e.kind().isWhole() && !e.workers().isEmpty()) {
                 firstList = e.workers();
             }
             lists.add(e);
--- a/lab/src/main/java/ryemast/lab/model/policy/Reference.java
+++ b/lab/src/main/java/ryemast/lab/model/policy/Reference.java
@@ -218,10 +218,10 @@
     }
 
     private void follow(WorkerList list) {
-        if (list.kind() == ListKind.FAILED || list.kind() == ListKind.CACHED && !settings.listPushed()) {
-            ask(list.kind() == ListKind.FAILED);
+        if (list.kind().isFailure() || list.kind() == ListKind.CACHED && !settings.listPushed()) {
+            ask(list.kind().isFailure());
         }
-        if (list.kind() == ListKind.COMPLETE || list.kind() == ListKind.CACHED) {
+        if (list.kind().isWhole()) {
             servers.values().forEach(server -> server.info = gone(server.info));
         }
         for (var info : list.workers()) {
--- a/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
+++ b/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
@@ -138,14 +138,15 @@
             await(patience);
             dialer.dial(discovery, this, up -> {
                 session = up;
-                if (session == null) {
-                    fail("cannot connect");
-                    return;
-                }
                 if (watch != this) {
                     close();
                     return;
                 }
+                if (session == null) {
+                    end("cannot connect");
+                    members.discoveryUnreachable();
+                    return;
+                }
                 var head = HttpHead.request("GET", "/catalog/members?watch=1&from=" + version)
                         .with("Host", Addresses.text(discovery)).with("Accept", "application/json");
                 session.write(new HttpMessage(head, HttpMessage.EMPTY));
@@ -174,15 +175,10 @@
             close();
         }
 
-        /**
-         * A call that was never answered leaves things as they were: discovery was lost before. An answer
-         * that had begun counts as told, though its list did not come.
-         */
+        /** A call that was never answered leaves things as they were: discovery was lost before. */
         private void lost() {
             if (heard) {
                 members.discoveryLost(heardAt);
-            } else if (answering) {
-                members.discoveryLost(loop.now() - ListAge.NOTIFIED_AFTER);
             }
         }
 
@@ -222,6 +218,10 @@
         public void ended() {
             if (watch == this) {
                 end("the connection ended");
+                if (answering && !heard) {
+                    // The list was on its way, and counts as notified.
+                    members.discoveryLost(loop.now() - ListAge.NOTIFIED_AFTER);
+                }
                 members.discoveryBroke();
             }
         }
