--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -209,7 +209,7 @@
                 && job.attempts.size() < settings.limits().maxAttempts();
         if (job.closed || ended.requestClosed()) {
             close(job);
-        } else if (job.outstanding == 0 && more && (harmless(job) || keyRemembered(job))) {
+        } else if (job.outstanding == 0 && more && (job.isHarmlessToRepeat() || keyRemembered(job))) {
             gather(job);
         } else if (job.outstanding == 0) {
             giveUp(job, job.unusable ? Cause.UNUSABLE : dropped || now >= job.deadline ? Cause.OUT_OF_TIME
@@ -243,15 +243,10 @@
                 && (job.jobClass.kind() < 0 || job.jobClass.kind() == worker.info.kind())
                 && job.attempts.size() < settings.limits().maxAttempts() && !job.mayStillBeAt(worker)
                 && (job.outstanding == 0 || settings.limits().secondCopies() && job.outstanding == 1)
-                && (harmless(job) || keyRemembered(job) && job.keyReaches(worker.info))
+                && (job.isHarmlessToRepeat() || keyRemembered(job) && job.keyReaches(worker.info))
                 && discovered.permits(worker, now) && coldAllows(job, worker);
     }
 
-    /** Guards against an effect that happens twice: an earlier attempt may have run, or still run. */
-    private boolean harmless(Job job) {
-        return job.jobClass.effect() == Effect.REPEATABLE || !job.mayHaveRun();
-    }
-
     /** A tick less than the window, so that a send on its edge does not slip out of it. */
     private boolean keyRemembered(Job job) {
         return job.jobClass.effect() == Effect.KEYED
@@ -285,7 +280,7 @@
         }
         worker.sent(now, Math.max(job.work, jobWork.mean), settings.rules().coldWindow());
         var attempt = worker.take(new Attempt(job, worker, now, now + (long) (worker.queueing * SECOND),
-                discovered.usableUntil(worker)));
+                discovered.usableUntil(worker, now)));
         out.accept(new Send(job.request.id(), worker.id, 0, attempt.beginBy));
         tellPeers(job, worker);
         arm("sweep", sweepEvery, this::sweep);
@@ -296,7 +291,7 @@
         boolean keyed = job.jobClass.effect() == Effect.KEYED && job.jobClass.keyScope() == KeyScope.ALL;
         if (!job.closed) {
             health.refusals().count(cause);
-            boolean invite = !job.unusable && (harmless(job) || keyed);
+            boolean invite = !job.unusable && (job.isHarmlessToRepeat() || keyed);
             out.accept(invite ? new Refuse(job.request.id(), comeBackAfter()) : new Fail(job.request.id()));
         }
         close(job);
@@ -314,9 +309,13 @@
         health.review(now);
         reach.review(now);
         rates.warm(reach.listed().filter(worker -> warmth(worker) >= 1));
-        discovered.news(now).ifPresent(line -> out.accept(new Log(line)));
+        log(discovered.news(now));
         round.forEach(this::place);
-        health.news(now).forEach(line -> out.accept(new Log(line)));
+        log(health.news(now));
+    }
+
+    private void log(List<String> lines) {
+        lines.forEach(line -> out.accept(new Log(line)));
     }
 
     /** Brings a worker's x, alpha and expected wait up to now. */
@@ -673,6 +672,7 @@
 
     private void follow(WorkerList list) {
         long wait = discovered.follow(list.kind(), now);
+        log(discovered.news(now));
         if (wait != Discovered.NO_CALL) {
             arm("ask", wait, () -> out.accept(new Subscribe()));
         }
--- a/decisions/src/main/java/pipitladder/Discovered.java
+++ b/decisions/src/main/java/pipitladder/Discovered.java
@@ -1,6 +1,9 @@
 package pipitladder;
 
-import java.util.Optional;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.stream.Stream;
 import pipitladder.Dispatcher.ListKind;
 import pipitladder.Ledger.Worker;
@@ -15,11 +18,15 @@
 
     /** Discovery need not be asked. */
     static final long NO_CALL = -1;
+    private static final long MICROS_PER_MS = 1_000;
 
     private final ListAge age = new ListAge();
     private final ListCalls calls;
     private final boolean pushed;
     private boolean wasOutdated;
+    /** Workers that were used although the list was out of date, since it became so. */
+    private final Set<String> reliedOn = new HashSet<>();
+    private final List<String> lines = new ArrayList<>();
 
     /** {@code pushed}: whether changes come unasked. */
     Discovered(ListCalls calls, boolean pushed) {
@@ -37,8 +44,12 @@
         return age.permits(worker.health.provenAt(), now);
     }
 
-    /** Until when an attempt may begin there. */
-    long usableUntil(Worker worker) {
+    /** Until when an attempt that is sent there now may begin. */
+    long usableUntil(Worker worker, long now) {
+        if (age.isOutdated(now) && reliedOn.add(worker.id)) {
+            lines.add("jobs go to " + worker.id + " though the list is out of date: it took one that was sent "
+                    + (now - worker.health.provenAt()) / MICROS_PER_MS + " ms ago");
+        }
         return age.usableUntil(worker.health.provenAt());
     }
 
@@ -77,20 +88,26 @@
         } else {
             age.failed();
         }
-        return kind == ListKind.BROKEN ? calls.broke(now) : calls.failed(now);
+        long wait = kind == ListKind.BROKEN ? calls.broke(now) : calls.failed(now);
+        if (!pushed) {
+            lines.add("discovery is asked again in " + wait / MICROS_PER_MS + " ms, after "
+                    + calls.described());
+        }
+        return wait;
     }
 
-    /** A line for the operators where the list has become too old, or recent again, since the last call. */
-    Optional<String> news(long now) {
-        if (age.isOutdated(now) == wasOutdated) {
-            return Optional.empty();
-        }
-        wasOutdated = !wasOutdated;
-        if (wasOutdated) {
-            return Optional.of("the list of workers is out of date, as discovery is not heard: jobs go only"
-                    + " to workers that took one lately");
+    /** Lines for the operators since the last call: whether the list is too old, and what follows from it. */
+    List<String> news(long now) {
+        if (age.isOutdated(now) != wasOutdated) {
+            wasOutdated = !wasOutdated;
+            reliedOn.clear();
+            lines.add(wasOutdated ? "the list of workers is out of date, as discovery is not heard: jobs go"
+                    + " only to workers that took one lately"
+                    : age.isHeard() ? "the list of workers is up to date again"
+                    : "discovery can't be reached: jobs go by the list of workers as it was");
         }
-        return Optional.of(age.isHeard() ? "the list of workers is up to date again"
-                : "discovery can't be reached: jobs go by the list of workers as it was");
+        var news = List.copyOf(lines);
+        lines.clear();
+        return news;
     }
 }
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -440,6 +440,11 @@
             return firstRunAt() < Long.MAX_VALUE;
         }
 
+        /** Whether another attempt could not let the effect happen twice. */
+        boolean isHarmlessToRepeat() {
+            return jobClass.effect() == Dispatcher.Effect.REPEATABLE || !mayHaveRun();
+        }
+
         /** When the first attempt that may have run was sent; the largest number if there is none. */
         long firstRunAt() {
             for (var attempt : attempts) {
--- a/decisions/src/main/java/ryemast/pacing/ListCalls.java
+++ b/decisions/src/main/java/ryemast/pacing/ListCalls.java
@@ -136,6 +136,11 @@
         return asksAfter(now, 1 + (long) (spread * random.nextDouble()));
     }
 
+    /** What has become of the calls since discovery was last heard, in words. */
+    public String described() {
+        return failures + " failed calls in a row, " + inVain + " of them after waiting in line";
+    }
+
     /** The time that the call itself took is part of what passes between two calls. */
     private long longestWait(long now) {
         long took = Math.max(0, now - askedAt);
