--- a/app/src/test/java/ryemast/it/Peer.java
+++ b/app/src/test/java/ryemast/it/Peer.java
@@ -17,7 +17,10 @@
         void play(Wire wire, Wire.Message message) throws Exception;
     }
 
-    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private static final int BACKLOG = 50;
+
+    private volatile ServerSocket listener;
+    private final int port;
     /** Everything that came, in order. */
     final Queue<Wire.Message> received = new ConcurrentLinkedQueue<>();
     final Queue<Wire> wires = new ConcurrentLinkedQueue<>();
@@ -27,15 +30,36 @@
 
     Peer(Script script) throws IOException {
         this.script = script;
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        port = listener.getLocalPort();
+        accept(listener);
+    }
+
+    private void accept(ServerSocket from) {
         run(() -> {
             while (true) {
-                var wire = new Wire(listener.accept());
+                var wire = new Wire(from.accept());
                 wires.add(wire);
                 run(() -> serve(wire));
             }
         });
     }
 
+    /** Resets all connections and takes no new ones, as where a process has died. */
+    void crash() throws IOException {
+        listener.close();
+        for (var wire : wires) {
+            wire.reset();
+        }
+        wires.clear();
+    }
+
+    /** Listens again at the same address, as a new process there does. */
+    void startAnew() throws IOException {
+        listener = new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
+        accept(listener);
+    }
+
     private void serve(Wire wire) throws Exception {
         for (var message = wire.read(); message != null; message = wire.read()) {
             received.add(message);
@@ -64,7 +88,7 @@
     }
 
     String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
+        return "127.0.0.1:" + port;
     }
 
     long count(String start) {
--- a/app/src/test/java/ryemast/it/UnheardListIT.java
+++ b/app/src/test/java/ryemast/it/UnheardListIT.java
@@ -11,6 +11,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -28,6 +29,9 @@
     private static final long PATIENCE_MS = 3_000;
     private static final long RUN_MS = 200;
     private static final int CLIENTS = 8;
+    private static final long SHORT_MS = 300;
+    /** For so long a worker's process is away that is replaced. */
+    private static final long ABSENT_MS = 2_500;
 
     private static void crowded(Wire wire, Wire.Message message) throws Exception {
         Thread.sleep(PATIENCE_MS);
@@ -49,6 +53,21 @@
             };
         }
 
+        /** Notes what comes to a worker that goes on as it did. */
+        private void notes(Peer worker) {
+            var script = worker.script;
+            worker.script = (wire, message) -> {
+                if (message.start().startsWith("POST")) {
+                    times.add(System.nanoTime());
+                }
+                script.play(wire, message);
+            };
+        }
+
+        private int count() {
+            return times.size();
+        }
+
         private List<Long> millisAfter(long notifiedAt) {
             return times.stream().map(each -> TimeUnit.NANOSECONDS.toMillis(each - notifiedAt))
                     .filter(each -> each > GRACE_MS).toList();
@@ -178,6 +197,32 @@
         }
     }
 
+    /** Its end counts as notified 6 s later, and its return not yet, whatever its new process takes on. */
+    @Test
+    @Tag("known-red")
+    void aWorkerThatWasGoneAndIsBackGetsNothingUntilItsReturnCountsAsNotified() throws Exception {
+        try (var platform = Platform.ofForty()) {
+            var arrivals = new Arrivals();
+            serves(platform, platform.one);
+            serves(platform, platform.two);
+            try (var load = new Load(platform)) {
+                until(() -> load.statuses.size() > 50);
+                platform.discovery.script = UnheardListIT::crowded;
+                platform.muteTable();
+                Thread.sleep(SHORT_MS);
+                long goneAt = System.nanoTime();
+                platform.one.crash();
+                sleepUntil(after(goneAt, ABSENT_MS));
+                arrivals.notes(platform.one);
+                long backAt = System.nanoTime();
+                platform.one.startAnew();
+                sleepUntil(after(backAt, NOTIFIED_MS));
+                assertEquals(List.of(), arrivals.millisAfter(after(goneAt, NOTIFIED_MS)));
+                assertTrue(arrivals.count() > 0, "it was not used again");
+            }
+        }
+    }
+
     /** What discovery has written counts as notified at once, though it was lost with the connection. */
     @Test
     void afterAWatchBrokeDiscoveryIsAskedWithinTheGrace() throws Exception {
--- a/decisions/src/main/java/pipitladder/Discovered.java
+++ b/decisions/src/main/java/pipitladder/Discovered.java
@@ -47,8 +47,8 @@
     /** Until when an attempt that is sent there now may begin. */
     long usableUntil(Worker worker, long now) {
         if (age.isOutdated(now) && reliedOn.add(worker.id)) {
-            lines.add("jobs go to " + worker.id + " though the list is out of date: it took one that was sent "
-                    + (now - worker.health.provenAt()) / MICROS_PER_MS + " ms ago");
+            lines.add("jobs go to " + worker.id + " though the list is out of date: it took one that was"
+                    + " sent " + (now - worker.health.provenAt()) / MICROS_PER_MS + " ms ago");
         }
         return age.usableUntil(worker.health.provenAt());
     }
--- a/decisions/src/test/java/pipitladder/UnheardListTest.java
+++ b/decisions/src/test/java/pipitladder/UnheardListTest.java
@@ -8,6 +8,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import pipitladder.Dispatcher.DiscoveryLost;
 import pipitladder.Dispatcher.Effect;
@@ -61,6 +62,18 @@
         assertNull(placed());
     }
 
+    /** It may have been gone before, which counts as notified 6 s later, and its return not yet. */
+    @Test
+    @Tag("known-red")
+    void whatWasFirstSeenToLiveAfterTheLossProvesNothingOfTheTimeBefore() {
+        stage.tell(new DiscoveryLost(stage.now));
+        stage.pass(4 * S);
+        placed();
+        stage.serve(requests);
+        stage.pass(2 * S);
+        assertNull(placed());
+    }
+
     @Test
     void anOperatorsDrainIsNoWordOfDiscovery() {
         stage.tell(new DiscoveryLost(stage.now - 6 * S));
