Rely on a worker without the list only while it is known to be one process

Cause: Health.Box.provenAt and ListAge.permits took any job that started lately as proof that the worker had not drained nor gone. What counts is what discovery had six seconds ago, and a job of a process that started since tells nothing of that: while the end counts as notified and the return does not yet, the worker must not be used. Class: a present observation taken for a statement about the past, as the identity of the process was no part of it. Change: ProcessLife knows since when a worker is one process: spans of connections that are answered (Exchange.lived, event WorkerLived) and of jobs, joined where they overlap. UnheardListTest.onlyTheWorkerThatTookAJobLately... expected twenty jobs on the word of one that was served after the loss, which is this very fault; it and a new test ask for a connection that is open since before.

--- a/app/src/test/java/ryemast/it/UnheardListIT.java
+++ b/app/src/test/java/ryemast/it/UnheardListIT.java
@@ -11,7 +11,6 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -199,7 +198,6 @@
 
     /** Its end counts as notified 6 s later, and its return not yet, whatever its new process takes on. */
     @Test
-    @Tag("known-red")
     void aWorkerThatWasGoneAndIsBackGetsNothingUntilItsReturnCountsAsNotified() throws Exception {
         try (var platform = Platform.ofForty()) {
             var arrivals = new Arrivals();
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -31,6 +31,7 @@
 import pipitladder.Dispatcher.TimerDue;
 import pipitladder.Dispatcher.WorkerInfo;
 import pipitladder.Dispatcher.WorkerList;
+import pipitladder.Dispatcher.WorkerLived;
 import pipitladder.Dispatcher.WorkerState;
 
 /**
@@ -215,6 +216,11 @@
         task.accept();
     }
 
+    /** A worker answered at {@code to} on a connection that had been open since {@code from}. */
+    public void lived(String worker, long from, long to) {
+        gathered.add(new WorkerLived(worker, from, to));
+    }
+
     /** The region reports the end of a routed task; one that has ended already is passed over. */
     public void ended(RoutedTask task, Outcome outcome) {
         if (!recalls.awaitsBroken(task, outcome)) {
--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -137,6 +137,8 @@
             follow(list);
         } else if (event instanceof DiscoveryLost lost) {
             discovered.lost(lost.heardAt(), now);
+        } else if (event instanceof WorkerLived lived) {
+            named(lived.worker()).health.life().seen(lived.from(), lived.to());
         } else if (event instanceof ClientGone gone) {
             close(jobs.get(gone.request()));
         } else if (event instanceof ProbeEnded probe && probe.healthy()) {
@@ -249,8 +251,7 @@
 
     /** A tick less than the window, so that a send on its edge does not slip out of it. */
     private boolean keyRemembered(Job job) {
-        return job.jobClass.effect() == Effect.KEYED
-                && now < job.firstRunAt() + job.jobClass.keyWindow() - settings.resolution();
+        return job.isKeyRemembered(now, settings.resolution());
     }
 
     private double warmth(Worker worker) {
--- a/decisions/src/main/java/pipitladder/Discovered.java
+++ b/decisions/src/main/java/pipitladder/Discovered.java
@@ -39,18 +39,20 @@
         age.lost(heardAt, now);
     }
 
-    /** Whether the worker may get a job, as it can't count as draining. */
+    /** Whether the worker may get a job, as it can't count as draining or gone. */
     boolean permits(Worker worker, long now) {
-        return age.permits(worker.health.provenAt(), now);
+        return age.permits(worker.health.life(), worker.health.provenAt(), now);
     }
 
     /** Until when an attempt that is sent there now may begin. */
     long usableUntil(Worker worker, long now) {
         if (age.isOutdated(now) && reliedOn.add(worker.id)) {
-            lines.add("jobs go to " + worker.id + " though the list is out of date: it took one that was"
-                    + " sent " + (now - worker.health.provenAt()) / MICROS_PER_MS + " ms ago");
+            long lived = (now - worker.health.life().since()) / MICROS_PER_MS;
+            long sent = (now - worker.health.provenAt()) / MICROS_PER_MS;
+            lines.add("jobs go to " + worker.id + " though the list is out of date: it has been one process"
+                    + " for " + lived + " ms and took one that was sent " + sent + " ms ago");
         }
-        return age.usableUntil(worker.health.provenAt());
+        return age.usableUntil(worker.health.life(), worker.health.provenAt(), now);
     }
 
     /** Whether the list is too old and no worker has proven itself: other dispatchers may know more. */
--- a/decisions/src/main/java/pipitladder/Dispatcher.java
+++ b/decisions/src/main/java/pipitladder/Dispatcher.java
@@ -194,6 +194,9 @@
     /** Discovery is not listened to any more; its last word came at {@code heardAt}. */
     record DiscoveryLost(long heardAt) implements Event { }
 
+    /** One process of the worker lived throughout: it answered a connection that was open all the while. */
+    record WorkerLived(String worker, long from, long to) implements Event { }
+
     /**
      * A client's request; it is owed exactly one final answer within {@code timeLeft}.
      *
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -259,7 +259,7 @@
         /** Its process is new: nothing seen of the former one holds. */
         void startedAnew(long now, long start) {
             missed(now, 0);
-            health.startedAnew();
+            health.startedAnew(start);
             giveUpOnSentBefore(start);
         }
 
@@ -463,6 +463,12 @@
                     ? firstRunAt() + jobClass.keyWindow() : Long.MAX_VALUE;
         }
 
+        /** Whether a repeat would be known for one; not from {@code slack} before the window's end on. */
+        boolean isKeyRemembered(long now, long slack) {
+            return jobClass.effect() == Dispatcher.Effect.KEYED
+                    && now < firstRunAt() + jobClass.keyWindow() - slack;
+        }
+
         /** Whether a worker shares its memory of keys with every worker that may have run the job. */
         boolean keyReaches(WorkerInfo other) {
             for (var attempt : attempts) {
--- a/decisions/src/main/java/ryemast/health/Box.java
+++ b/decisions/src/main/java/ryemast/health/Box.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import ryemast.membership.ProcessLife;
 
 /**
  * The book of evidence about one box, and what is believed of it.
@@ -61,6 +62,7 @@
     /** When the latest sent of the jobs that have started was sent, and the latest started that has ended. */
     private long startedSentAt = Long.MIN_VALUE;
     private long endedStartedAt = Long.MIN_VALUE;
+    private final ProcessLife life = new ProcessLife();
     private long heardAt;
     private int turnedAway;
     private long turnedAwayAt = Long.MIN_VALUE;
@@ -134,6 +136,7 @@
     void started(Awaited job, long now) {
         health.silence.started(job, now);
         heard(now);
+        life.seen(job.sentAt, now);
         startedSentAt = Math.max(startedSentAt, job.sentAt);
         hasRoom();
     }
@@ -155,6 +158,7 @@
         if (sign == Sign.SERVED) {
             heard(now);
             health.silence.served(job, now);
+            life.seen(job.sentAt, now);
             startedSentAt = Math.max(startedSentAt, job.sentAt);
             endedStartedAt = Math.max(endedStartedAt, job.begunAt());
             hasRoom();
@@ -214,8 +218,9 @@
         believedAt = now;
     }
 
-    /** Its process is new: nothing that was known of it holds. */
-    public void startedAnew() {
+    /** Its process is new since then: nothing that was known of it holds. */
+    public void startedAnew(long start) {
+        life.startedAt(start);
         flaky = USUALLY_FLAKY;
         down = USUALLY_DOWN;
         turnedAway = 0;
@@ -415,6 +420,11 @@
         return startedSentAt > turnedAwayAt ? startedSentAt : Long.MIN_VALUE;
     }
 
+    /** For how long it is known to be one process. */
+    public ProcessLife life() {
+        return life;
+    }
+
     /** Whether a job that may be repeated should go here now, to see whether the box is well again. */
     public boolean trialDue(long now) {
         return standing == Standing.TRIAL && now >= trialAt && health.turns.has(id, triedIn(now), now);
--- a/decisions/src/main/java/ryemast/membership/ListAge.java
+++ b/decisions/src/main/java/ryemast/membership/ListAge.java
@@ -4,10 +4,15 @@
  * Whether the list of workers is recent enough to go by, where discovery is not heard.
  *
  * <p>A change counts as notified {@link #NOTIFIED_AFTER} after discovery had it, whether or not it was heard.
- * So the list alone is enough until that long after discovery's last word. From then on a worker may be used
- * only while it proves itself: a draining worker turns jobs away, so one that took a job did not drain when
- * that was sent, and if it began to since then, it does not count as notified yet. A job proves this only if
- * it was sent after discovery was lost, as what a broken watch missed counts as notified earlier.
+ * So the list alone is enough until that long after discovery's last word. From then on a worker counts as
+ * what discovery had {@link #NOTIFIED_AFTER} ago, and may be used only where that is known:
+ *
+ * <ul>
+ * <li>It took a job that was sent since then: a draining worker turns jobs away, so it did not drain. A
+ * job proves this only if it was sent after discovery was lost: what a broken watch missed counts earlier.
+ * <li>It has been one process since then and {@link #LISTED_AFTER} before: one that has been replaced may
+ * count as gone for as long as its return does not count as notified yet.
+ * </ul>
  *
  * <p>Where discovery can't be reached at all, nothing counts as notified: the list is as good as it was.
  *
@@ -17,6 +22,8 @@
 
     /** What discovery has counts as notified so long after, heard or not. */
     public static final long NOTIFIED_AFTER = 6_000_000;
+    /** Discovery may have the end or the start of a process so much later than it was. */
+    public static final long LISTED_AFTER = 3_000_000;
     /** What another discovery has counts as notified so long after the dispatcher was told to go there. */
     public static final long NOTIFIED_AFTER_MOVE = 4_000_000;
     /**
@@ -73,15 +80,22 @@
     }
 
     /** Whether a worker may be used that last took a job sent at {@code provenAt}. */
-    public boolean permits(long provenAt, long now) {
-        return now < usableUntil(provenAt);
+    public boolean permits(ProcessLife life, long provenAt, long now) {
+        return now < outdatedAt || isOldEnough(life, now) && now < provenUntil(provenAt);
     }
 
-    /** Until when an attempt may begin at a worker that last took a job sent at {@code provenAt}. */
-    public long usableUntil(long provenAt) {
-        if (isHeard() || provenAt < lostAt) {
-            return outdatedAt;
-        }
-        return Math.max(outdatedAt, provenAt + NOTIFIED_AFTER);
+    /** Until when an attempt that is sent now may begin at such a worker. */
+    public long usableUntil(ProcessLife life, long provenAt, long now) {
+        return isHeard() || !isOldEnough(life, Math.max(now, outdatedAt)) ? outdatedAt
+                : Math.max(outdatedAt, provenUntil(provenAt));
+    }
+
+    /** Whether discovery had the present process already {@link #NOTIFIED_AFTER} before. */
+    private static boolean isOldEnough(ProcessLife life, long now) {
+        return life.since() <= now - NOTIFIED_AFTER - LISTED_AFTER;
+    }
+
+    private long provenUntil(long provenAt) {
+        return provenAt < lostAt ? Long.MIN_VALUE : provenAt + NOTIFIED_AFTER;
     }
 }
--- a/decisions/src/test/java/pipitladder/UnheardListTest.java
+++ b/decisions/src/test/java/pipitladder/UnheardListTest.java
@@ -8,7 +8,6 @@
 
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import pipitladder.Dispatcher.DiscoveryLost;
 import pipitladder.Dispatcher.Effect;
@@ -16,6 +15,7 @@
 import pipitladder.Dispatcher.ListKind;
 import pipitladder.Dispatcher.Refuse;
 import pipitladder.Dispatcher.WorkerList;
+import pipitladder.Dispatcher.WorkerLived;
 
 /** No worker that may drain unheard gets a job, whatever else speaks for it. */
 class UnheardListTest {
@@ -33,6 +33,12 @@
         return stage.place(++requests);
     }
 
+    /** Serves the latest job over a connection that was opened at that time. */
+    private void serve(String worker, long openedAt) {
+        stage.tell(new WorkerLived(worker, openedAt, stage.now));
+        stage.serve(requests);
+    }
+
     @Test
     void aSendBeforeTheListIsTooOldMayNotBeginAfterwards() {
         stage.tell(new DiscoveryLost(stage.now - S));
@@ -49,14 +55,15 @@
     }
 
     @Test
-    void onlyTheWorkerThatTookAJobLatelyGetsTheNext() {
+    void onlyTheWorkerThatTookAJobLatelyOnAConnectionOpenSinceBeforeTheLossGetsTheNext() {
         stage.tell(new DiscoveryLost(stage.now - 5 * S));
+        long openedAt = stage.now - 9 * S;
         var first = placed();
-        stage.serve(requests);
+        serve(first, openedAt);
         stage.pass(S);
         for (int i = 0; i < 20; i++) {
             assertEquals(first, placed());
-            stage.serve(requests);
+            serve(first, openedAt);
         }
         stage.pass(7 * S);
         assertNull(placed());
@@ -64,7 +71,6 @@
 
     /** It may have been gone before, which counts as notified 6 s later, and its return not yet. */
     @Test
-    @Tag("known-red")
     void whatWasFirstSeenToLiveAfterTheLossProvesNothingOfTheTimeBefore() {
         stage.tell(new DiscoveryLost(stage.now));
         stage.pass(4 * S);
@@ -74,6 +80,21 @@
         assertNull(placed());
     }
 
+    /** From then on its process is one that discovery had six seconds before. */
+    @Test
+    void aWorkerWhoseConnectionIsNineSecondsOldIsUsedAgain() {
+        stage.list(Stage.worker("a"));
+        stage.tell(new DiscoveryLost(stage.now));
+        long openedAt = stage.now;
+        stage.pass(5 * S);
+        placed();
+        serve("a", openedAt);
+        stage.pass(S);
+        assertNull(placed());
+        stage.pass(openedAt + 9 * S - stage.now);
+        assertEquals("a", placed());
+    }
+
     @Test
     void anOperatorsDrainIsNoWordOfDiscovery() {
         stage.tell(new DiscoveryLost(stage.now - 6 * S));
--- a/decisions/src/test/java/ryemast/health/HealthTest.java
+++ b/decisions/src/test/java/ryemast/health/HealthTest.java
@@ -262,7 +262,7 @@
         for (int i = 0; i < 4; i++) {
             job(0, Sign.NO_CONNECTION);
         }
-        boxes.get(0).startedAnew();
+        boxes.get(0).startedAnew(0);
         assertEquals(Standing.FULL, standing(0));
     }
 
--- a/decisions/src/test/java/ryemast/membership/ListAgeTest.java
+++ b/decisions/src/test/java/ryemast/membership/ListAgeTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class ListAgeTest {
@@ -12,13 +13,24 @@
     private static final long UNPROVEN = Long.MIN_VALUE;
 
     private final ListAge age = new ListAge();
+    private final ProcessLife life = new ProcessLife();
+
+    /** The worker is one process since long ago. */
+    @BeforeEach
+    void live() {
+        life.seen(0, 10 * S);
+    }
+
+    private boolean permits(long provenAt, long now) {
+        return age.permits(life, provenAt, now);
+    }
 
     @Test
     void whileDiscoveryIsHeardNothingNeedsProof() {
-        assertTrue(age.permits(UNPROVEN, 1_000 * S));
+        assertTrue(permits(UNPROVEN, 1_000 * S));
         age.lost(10 * S, 12 * S);
         age.heard();
-        assertTrue(age.permits(UNPROVEN, 1_000 * S));
+        assertTrue(permits(UNPROVEN, 1_000 * S));
         assertFalse(age.isOutdated(1_000 * S));
     }
 
@@ -26,8 +38,8 @@
     @Test
     void theListIsOutdatedSixSecondsAfterTheLastWordAndNotAfterTheLossWasNoticed() {
         age.lost(10 * S, 13 * S);
-        assertTrue(age.permits(UNPROVEN, 16 * S - 1));
-        assertFalse(age.permits(UNPROVEN, 16 * S));
+        assertTrue(permits(UNPROVEN, 16 * S - 1));
+        assertFalse(permits(UNPROVEN, 16 * S));
         assertTrue(age.isOutdated(16 * S));
     }
 
@@ -41,17 +53,17 @@
     @Test
     void aJobProvesItsWorkerForSixSecondsFromItsSending() {
         age.lost(10 * S, 13 * S);
-        assertTrue(age.permits(14 * S, 20 * S - 1));
-        assertFalse(age.permits(14 * S, 20 * S));
-        assertEquals(20 * S, age.usableUntil(14 * S));
+        assertTrue(permits(14 * S, 20 * S - 1));
+        assertFalse(permits(14 * S, 20 * S));
+        assertEquals(20 * S, age.usableUntil(life, 14 * S, 14 * S));
     }
 
     /** What a broken watch missed counts as notified 6 s after its last word, however late it happened. */
     @Test
     void aJobSentBeforeTheLossProvesNothing() {
         age.lost(10 * S, 13 * S);
-        assertFalse(age.permits(13 * S - 1, 16 * S));
-        assertEquals(16 * S, age.usableUntil(13 * S - 1));
+        assertFalse(permits(13 * S - 1, 16 * S));
+        assertEquals(16 * S, age.usableUntil(life, 13 * S - 1, 14 * S));
     }
 
     /** One failure may be this machine's; from the third on nobody can have been notified. */
@@ -66,7 +78,7 @@
         assertFalse(age.isOutdated(23 * S - 1));
         assertTrue(age.isOutdated(23 * S));
         age.unreachable(30 * S);
-        assertTrue(age.permits(UNPROVEN, 36 * S - 1));
+        assertTrue(permits(UNPROVEN, 36 * S - 1));
     }
 
     @Test
@@ -80,10 +92,30 @@
         assertTrue(age.isOutdated(16 * S));
     }
 
+    /** It may have been gone in between, which counts as notified for as long as its return does not. */
+    @Test
+    void aJobProvesNothingForAProcessThatDiscoveryMayNotHaveHadSixSecondsBefore() {
+        age.lost(10 * S, 10 * S);
+        var replaced = new ProcessLife();
+        replaced.seen(0, 9 * S);
+        replaced.seen(12 * S, 20 * S);
+        long listed = 12 * S + ListAge.LISTED_AFTER;
+        assertFalse(age.permits(replaced, 20 * S, listed + 6 * S - 1));
+        assertTrue(age.permits(replaced, 20 * S, listed + 6 * S));
+        assertEquals(16 * S, age.usableUntil(replaced, 15 * S, 15 * S));
+        assertEquals(26 * S, age.usableUntil(replaced, 20 * S, listed + 6 * S));
+    }
+
+    @Test
+    void aWorkerThatWasNeverSeenIsNotUsed() {
+        age.lost(10 * S, 10 * S);
+        assertFalse(age.permits(new ProcessLife(), 15 * S, 16 * S));
+    }
+
     @Test
     void aProofIsNeverWorthLessThanTheListItself() {
         age.lost(10 * S, 10 * S);
-        assertEquals(16 * S, age.usableUntil(UNPROVEN));
-        assertEquals(17 * S, age.usableUntil(11 * S));
+        assertEquals(16 * S, age.usableUntil(life, UNPROVEN, 11 * S));
+        assertEquals(17 * S, age.usableUntil(life, 11 * S, 11 * S));
     }
 }
--- a/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -250,6 +250,7 @@
         /** How many bytes are written once the call is: what was read before is no answer to it. */
         private long wholeAt;
         private long idleSince;
+        private long openedAt;
         /** For how long it had rested before the call that it carries; negative for its first one. */
         private long restBefore = -1;
         private boolean closed;
@@ -264,6 +265,7 @@
             call = first;
             dialer.dial(address, this, (up, nobodyThere) -> {
                 session = up;
+                openedAt = loop.now();
                 if (nobodyThere) {
                     findNobody();
                 } else if (session == null) {
@@ -336,6 +338,9 @@
                 return;
             }
             var done = call;
+            if (done.worker() != null) {
+                exchange.lived(done.worker(), openedAt, at);
+            }
             if (answer.head().closes()) {
                 call = null;
                 close();
