Spread calls for the list out exponentially where discovery has too many callers

Cause: ListCalls.wave drew among as many windows as fit into 3.6 s, which is one, so that a hundred dispatchers asked in each 2.5 s. Discovery works in turn, for callers that have given up too, and answered none of them for good: congestion collapse. Calls that were turned away at once, as the line was full, came again within 3.6 s as well, and calls that were reset after waiting in line within 0.3 s, twice. Up to ten dispatchers nothing changes. That a change counts as notified 6 s later is kept without the list (ListAge, UnheardListTest).

--- a/decisions/src/main/java/pipitladder/Discovered.java
+++ b/decisions/src/main/java/pipitladder/Discovered.java
@@ -90,7 +90,11 @@
         } else {
             age.failed();
         }
-        long wait = kind == ListKind.BROKEN ? calls.broke(now) : calls.failed(now);
+        long wait = switch (kind) {
+            case BROKEN -> calls.broke(now);
+            case UNREACHABLE -> calls.unreachable(now);
+            default -> calls.failed(now);
+        };
         if (!pushed) {
             lines.add("discovery is asked again in " + wait / MICROS_PER_MS + " ms, after "
                     + calls.described());
--- a/decisions/src/main/java/ryemast/pacing/ListCalls.java
+++ b/decisions/src/main/java/ryemast/pacing/ListCalls.java
@@ -9,14 +9,18 @@
  * that doubles and is random, so that those who failed together do not come back together.
  *
  * <p>A call that failed only after it had waited tells something else: more ask than discovery can answer in
- * its time. Calls that come one by one then all fail, as each reaches the head of the line when its time is
- * nearly up, and discovery drops it half done (congestion collapse). So those who waited in vain come back
- * in waves: together, at the beginning of a window by the clock, so that as many are answered as fit into the
- * time of a call, and the rest leave the line together. In which window is drawn, among more of them after
- * each such failure. Clocks that differ spread a wave out, which costs answers and breaks nothing.
+ * its time. As it works for callers that have given up as well, those who soon ask again keep its line so
+ * long that nobody is answered, for good (congestion collapse). So those who waited in vain spread out, as
+ * senders do on a shared line (binary exponential backoff): the next call is made at the beginning of a window
+ * by the clock, drawn among twice as many windows after each such failure, from half
+ * of them up to one for {@link #CALLS_A_WINDOW} dispatchers. Calls of one window come together, so that where discovery drops
+ * what has waited for too long as many are answered as fit into that time. Until discovery is heard, a call
+ * that is turned away at once counts in the same way: the line was full.
  *
- * <p>No wait is longer than {@link #LONGEST_WAIT}, however often calls have failed and whatever the time for
- * asking is: what discovery has counts as told 6 s after it could be reached again.
+ * <p>Where few ask, or discovery can't be reached at all, no wait is longer than {@link #LONGEST_WAIT},
+ * however often calls have failed and whatever the time for asking is: what discovery has counts as notified
+ * 6 s after it could be reached again. Where many ask, that can't be held by asking: jobs go by what is
+ * known without the list then ({@link ryemast.membership.ListAge}).
  *
  * <p>A dispatcher is notified of what discovery has written, also where it was lost as the connection broke.
  * So the first calls after that follow almost at once, spread out over no more than the grace that is left.
@@ -51,12 +55,15 @@
      * begins.
      */
     private static final double WINDOW = 0.25;
-    /** Of the longest wait: what a window may last at most, so that the whole wave is within it. */
-    private static final double WINDOW_OF_WAIT = 0.9;
+    /** What a window may last at most, in microseconds. */
+    private static final long LONGEST_WINDOW = 3_240_000;
     /** Of a window: how far a wave is spread, so that 150 calls are 600 a second. */
     private static final double WAVE = 0.1;
     /** One window for so many dispatchers. */
     private static final int CALLS_A_WINDOW = 10;
+    /** After the first call in vain so many windows are drawn from, or this part of all. */
+    private static final int LEAST_WINDOWS = 2;
+    private static final int FIRST_OF_WINDOWS = 2;
     /**
      * The pause where lists are pushed, in microseconds: a drain is told at once then, and nothing new may
      * follow half a second later; the call and its answer take their part of that.
@@ -114,21 +121,28 @@
             return PUSHED_PAUSE;
         }
         failures++;
-        int windows = (dispatchers + CALLS_A_WINDOW - 1) / CALLS_A_WINDOW;
-        if (now - askedAt > askEvery * IN_LINE && windows > 1) {
+        if (isCrowded(now)) {
+            int first = Math.max(LEAST_WINDOWS, windows() / FIRST_OF_WINDOWS);
+            int among = first << Math.min(MOST_DOUBLINGS, inVain);
             inVain++;
-            return asksAfter(now, wave(now, Math.min(windows, 2 * inVain)));
+            return asksAfter(now, wave(now, Math.min(windows(), among)));
         }
-        double pause = Math.min(LONGEST_PAUSE,
-                FIRST_PAUSE * Math.scalb(dispatchers, Math.min(MOST_DOUBLINGS, failures)));
-        double shortest = Math.min(askEvery * pause, longestWait(now) / 2.0);
-        return asksAfter(now, 1 + (long) (shortest * (1 + random.nextDouble())));
+        return asksAfter(now, pause(now));
+    }
+
+    /** The same where no connection came up: nobody is in line. */
+    public long unreachable(long now) {
+        if (pushed) {
+            return PUSHED_PAUSE;
+        }
+        failures++;
+        return asksAfter(now, pause(now));
     }
 
     /** The same where the connection of the call, or of what it began, broke. */
     public long broke(long now) {
         breaks++;
-        if (pushed || breaks > QUICK_CALLS) {
+        if (pushed || breaks > QUICK_CALLS || isCrowded(now)) {
             return failed(now);
         }
         failures++;
@@ -136,6 +150,22 @@
         return asksAfter(now, 1 + (long) (spread * random.nextDouble()));
     }
 
+    /** Whether a call that has failed now did so as too many ask. */
+    private boolean isCrowded(long now) {
+        return windows() > 1 && (inVain > 0 || now - askedAt > askEvery * IN_LINE);
+    }
+
+    private int windows() {
+        return (dispatchers + CALLS_A_WINDOW - 1) / CALLS_A_WINDOW;
+    }
+
+    private long pause(long now) {
+        double part = Math.min(LONGEST_PAUSE,
+                FIRST_PAUSE * Math.scalb(dispatchers, Math.min(MOST_DOUBLINGS, failures)));
+        double shortest = Math.min(askEvery * part, longestWait(now) / 2.0);
+        return 1 + (long) (shortest * (1 + random.nextDouble()));
+    }
+
     /** What has become of the calls since discovery was last heard, in words. */
     public String described() {
         return failures + " failed calls in a row, " + inVain + " of them after waiting in line";
@@ -148,9 +178,8 @@
     }
 
     private long wave(long now, int windows) {
-        long window = Math.max(1, (long) Math.min(askEvery * WINDOW, LONGEST_WAIT * WINDOW_OF_WAIT));
-        long reached = Math.max(1, (long) (LONGEST_WAIT / (window * (1 + WAVE))));
-        long begins = (now / window + 1 + random.nextInt((int) Math.min(windows, reached))) * window;
+        long window = Math.max(1, (long) Math.min(askEvery * WINDOW, LONGEST_WINDOW));
+        long begins = (now / window + 1 + random.nextInt(windows)) * window;
         return begins - now + (long) (window * WAVE * random.nextDouble());
     }
 
