Keep using workers that outlast the list, by turns, while discovery is not heard

Cause: each dispatcher used a hundred workers by turns and closed their connections, so that nothing was known of any of them. Change: a process that was seen before the watch ended, the watch having said something within 2.5 s, is the one that discovery had (one that died since would not be back so soon); so is one that was seen within the first 3 s of a start, as before. While discovery is not heard, the worker of these goes first that was seen least lately, where it does the job in time. Rates.served took learnSpeed over from Brain. The log says how many workers are left when the list becomes out of date.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -310,7 +310,7 @@
         health.review(now);
         reach.review(now);
         rates.warm(reach.listed().filter(worker -> warmth(worker) >= 1));
-        log(discovered.news(now));
+        log(discovered.news(reach.listed(), now));
         round.forEach(this::place);
         log(health.news(now));
     }
@@ -420,8 +420,23 @@
         }
     }
 
-    /** Near workers first; where the best of them lets the job wait longer than the way costs, all. */
+    /**
+     * While discovery is not heard, workers first that can still be used once the list is out of date, by
+     * turns, so that they are seen to live until then; but only where they do the job in time.
+     */
     private Worker choose(Job job, Worker except) {
+        return (discovered.isHeard() ? Optional.<Worker>empty() : discovered.mostUrgent(reach.listed()
+                .filter(worker -> worker != except && permits(job, worker) && fits(job, worker)
+                        && isInTime(job, worker)), now)).orElseGet(() -> chooseAmongAll(job, except));
+    }
+
+    private boolean isInTime(Job job, Worker worker) {
+        estimate(worker);
+        return now + finish(worker, job) * SECOND <= job.aimAt;
+    }
+
+    /** Near workers first; where the best of them lets the job wait longer than the way costs, all. */
+    private Worker chooseAmongAll(Job job, Worker except) {
         var candidates = job.candidates == null || except != null ? draw(reach.near(), job, except)
                 : new ArrayList<>(job.candidates);
         candidates.removeIf(worker -> !permits(job, worker));
@@ -481,7 +496,7 @@
 
     private void place(Job job) {
         var best = choose(job, null);
-        boolean misses = best == null || now + finish(best, job) * SECOND > job.aimAt;
+        boolean misses = best == null || !isInTime(job, best);
         boolean over = now + 2 * period >= job.deadline || now > job.aimAt && job.jobClass.lateWorth() == 0;
         boolean outdated = best == null && discovered.isOutdatedFor(reach.listed(), now);
         if (misses && asksWorkers && job.draws < DRAWS && !over) {
@@ -568,29 +583,14 @@
         var worker = attempt.worker;
         var sign = attempt.end(outcome);
         attempt.awaited.ended(sign, attempt.job.failedElsewhere(worker), now);
-        if (sign == Sign.SERVED) {
-            learnSpeed(attempt);
+        if (sign == Sign.SERVED && warmth(worker) >= 1) {
+            rates.served(attempt, !health.wasDeaf(now), now);
         } else if (sign == Sign.TURNED_AWAY) {
             double room = FULL_JOBS * jobWork.mean / Math.max(1e-3, worker.rate);
             worker.health.full(now, Math.max(period / SECOND, room));
         }
     }
 
-    private void learnSpeed(Attempt attempt) {
-        var worker = attempt.worker;
-        if (warmth(worker) < 1) {
-            return;
-        }
-        rates.served(worker, attempt.job.work, now);
-        if (health.wasDeaf(now)) {
-            return;
-        }
-        boolean timed = attempt.startedAt > 0;
-        double took = Math.max(1, now - (timed ? attempt.startedAt : attempt.sentAt)) / SECOND;
-        double work = timed ? attempt.job.length() : attempt.job.work + attempt.workAhead;
-        rates.ran(worker, work, took);
-    }
-
     private void readReport(Worker worker, double[] report) {
         worker.reported(settings.field(report, ReportField.IN_FLIGHT),
                 settings.field(report, ReportField.FREE_SLOTS), jobWork.mean, rates.speed(worker), now);
@@ -673,7 +673,7 @@
 
     private void follow(WorkerList list) {
         long wait = discovered.follow(list.kind(), now);
-        log(discovered.news(now));
+        log(discovered.news(reach.listed(), now));
         if (wait != Discovered.NO_CALL) {
             arm("ask", wait, () -> out.accept(new Subscribe()));
         }
--- a/decisions/src/main/java/pipitladder/Discovered.java
+++ b/decisions/src/main/java/pipitladder/Discovered.java
@@ -1,8 +1,10 @@
 package pipitladder;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import pipitladder.Dispatcher.ListKind;
@@ -19,6 +21,8 @@
     /** Discovery need not be asked. */
     static final long NO_CALL = -1;
     private static final long MICROS_PER_MS = 1_000;
+    /** So long after its last job a worker's connection is still there for the next, in microseconds. */
+    private static final long KEPT = 3_000_000;
 
     private final ListAge age = new ListAge();
     private final ListCalls calls;
@@ -44,6 +48,20 @@
         return age.permits(worker.health.life(), worker.health.provenAt(), now);
     }
 
+    boolean isHeard() {
+        return age.isHeard();
+    }
+
+    /**
+     * Of these workers, the one that is to be used next so that it can still be used once the list is out of
+     * date: that was seen least lately, while its connection is kept.
+     */
+    Optional<Worker> mostUrgent(Stream<Worker> workers, long now) {
+        return workers.filter(worker -> worker.health.life().until() > now - KEPT
+                && age.outlastsList(worker.health.life(), now))
+                .min(Comparator.comparingLong(worker -> worker.health.life().until()));
+    }
+
     /** Until when an attempt that is sent there now may begin. */
     long usableUntil(Worker worker, long now) {
         if (age.isOutdated(now) && reliedOn.add(worker.id)) {
@@ -73,6 +91,7 @@
             }
             case CACHED -> {
                 calls.heard();
+                age.startedWithList(now);
                 return pushed ? NO_CALL : calls.first(now);
             }
             default -> {
@@ -103,13 +122,13 @@
     }
 
     /** Lines for the operators since the last call: whether the list is too old, and what follows from it. */
-    List<String> news(long now) {
+    List<String> news(Stream<Worker> listed, long now) {
         if (age.isOutdated(now) != wasOutdated) {
             wasOutdated = !wasOutdated;
             reliedOn.clear();
             lines.add(wasOutdated ? "the list of workers is out of date, as discovery is not heard: jobs go"
-                    + " only to workers that took one lately"
-                    : age.isHeard() ? "the list of workers is up to date again"
+                    + " only to workers that took one lately, now " + listed.filter(worker ->
+                    permits(worker, now)).count() : age.isHeard() ? "the list of workers is up to date again"
                     : "discovery can't be reached: jobs go by the list of workers as it was");
         }
         var news = List.copyOf(lines);
--- a/decisions/src/main/java/pipitladder/Rates.java
+++ b/decisions/src/main/java/pipitladder/Rates.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.stream.Stream;
 import pipitladder.Dispatcher.Tenant;
+import pipitladder.Ledger.Attempt;
 import pipitladder.Ledger.Estimate;
 import pipitladder.Ledger.Flow;
 import pipitladder.Ledger.Worker;
@@ -98,7 +99,7 @@
     }
 
     /** A job of this length has taken so many seconds there. */
-    void ran(Worker worker, double length, double seconds) {
+    private void ran(Worker worker, double length, double seconds) {
         double sample = Math.log(length / seconds);
         worker.logSpeed.learn(sample, MEMORY);
         ofKind(worker).learn(sample, MEMORY);
@@ -120,9 +121,15 @@
         ready.forEach(worker -> bearers.merge(worker.info.kind(), 1, Integer::sum));
     }
 
-    /** A warm worker has served a job of so much work. */
-    void served(Worker worker, double work, long now) {
-        borne.computeIfAbsent(worker.info.kind(), kind -> new Flow()).add(now, work);
+    /** A warm worker has served the attempt; {@code timed}: whether the time of its end is known. */
+    void served(Attempt attempt, boolean timed, long now) {
+        var worker = attempt.worker;
+        borne.computeIfAbsent(worker.info.kind(), kind -> new Flow()).add(now, attempt.job.work);
+        if (timed) {
+            boolean startTold = attempt.startedAt > 0;
+            double took = Math.max(1, now - (startTold ? attempt.startedAt : attempt.sentAt)) / Ledger.SECOND;
+            ran(worker, startTold ? attempt.job.length() : attempt.job.work + attempt.workAhead, took);
+        }
     }
 
     /**
--- a/decisions/src/main/java/ryemast/membership/ListAge.java
+++ b/decisions/src/main/java/ryemast/membership/ListAge.java
@@ -10,10 +10,13 @@
  * <ul>
  * <li>It took a job that was sent since then: a draining worker turns jobs away, so it did not drain. A
  * job proves this only if it was sent after discovery was lost: what a broken watch missed counts earlier.
- * <li>It has been one process since then and {@link #LISTED_AFTER} before: one that has been replaced may
- * count as gone for as long as its return does not count as notified yet.
+ * <li>It has been one process since discovery was last listened to, or since {@link #LISTED_AFTER} before
+ * then: one that has been replaced may count as gone for as long as its return does not count as notified.
  * </ul>
  *
+ * <p>A dispatcher that has just started goes by the list that it was started with for {@link #FIRST_LIST},
+ * and from then on by processes that it first saw in that time.
+ *
  * <p>Where discovery can't be reached at all, nothing counts as notified: the list is as good as it was.
  *
  * <p>Times are microseconds on the dispatcher's clock. Owned by whoever owns the list.
@@ -22,8 +25,13 @@
 
     /** What discovery has counts as notified so long after, heard or not. */
     public static final long NOTIFIED_AFTER = 6_000_000;
-    /** Discovery may have the end or the start of a process so much later than it was. */
+    /**
+     * Discovery may have the end or the start of a process so much later than it was, and no process is
+     * replaced sooner.
+     */
     public static final long LISTED_AFTER = 3_000_000;
+    /** A watch that is not silent says something so often, even if nothing has changed. */
+    private static final long BEAT = 2_500_000;
     /** What another discovery has counts as notified so long after the dispatcher was told to go there. */
     public static final long NOTIFIED_AFTER_MOVE = 4_000_000;
     /**
@@ -39,11 +47,19 @@
 
     private long outdatedAt = NEVER;
     private long lostAt;
+    /** Whoever is one process since then is the one that the list means. */
+    private long listedBy = Long.MIN_VALUE;
     private int unreachableCalls;
     private long unreachableSince;
 
+    /** The dispatcher starts with a list of unknown age. */
+    public void startedWithList(long now) {
+        listedBy = now + FIRST_LIST;
+    }
+
     /** Discovery has said what there is, or what has changed. */
     public void heard() {
+        listedBy = Long.MIN_VALUE;
         outdatedAt = NEVER;
         unreachableCalls = 0;
     }
@@ -65,6 +81,10 @@
 
     /** Discovery is not listened to any more; its last word came at {@code heardAt}. */
     public void lost(long heardAt, long now) {
+        if (isHeard() && now - heardAt <= BEAT) {
+            // The watch was listened to until it ended, and had nothing to say.
+            listedBy = Math.max(listedBy, now);
+        }
         outdatedAt = Math.min(outdatedAt, heardAt + NOTIFIED_AFTER);
         lostAt = now;
     }
@@ -86,13 +106,20 @@
 
     /** Until when an attempt that is sent now may begin at such a worker. */
     public long usableUntil(ProcessLife life, long provenAt, long now) {
-        return isHeard() || !isOldEnough(life, Math.max(now, outdatedAt)) ? outdatedAt
+        return isHeard() || !outlastsList(life, now) ? outdatedAt
                 : Math.max(outdatedAt, provenUntil(provenAt));
     }
 
-    /** Whether discovery had the present process already {@link #NOTIFIED_AFTER} before. */
-    private static boolean isOldEnough(ProcessLife life, long now) {
-        return life.since() <= now - NOTIFIED_AFTER - LISTED_AFTER;
+    /** Whether the present process is the one that counts as notified now, and not an earlier one's end. */
+    private boolean isOldEnough(ProcessLife life, long now) {
+        long lastWord = outdatedAt - NOTIFIED_AFTER;
+        long listed = now - NOTIFIED_AFTER - LISTED_AFTER;
+        return life.since() <= Math.max(listedBy, Math.max(lastWord, listed));
+    }
+
+    /** Whether a worker that is used all the time may still be used once the list is outdated. */
+    public boolean outlastsList(ProcessLife life, long now) {
+        return isOldEnough(life, Math.max(now, outdatedAt));
     }
 
     private long provenUntil(long provenAt) {
--- a/decisions/src/main/java/ryemast/membership/ProcessLife.java
+++ b/decisions/src/main/java/ryemast/membership/ProcessLife.java
@@ -42,4 +42,9 @@
     public long since() {
         return since;
     }
+
+    /** When it was last seen; the least number if it has not been. */
+    public long until() {
+        return until;
+    }
 }
--- a/decisions/src/main/java/ryemast/pacing/ListCalls.java
+++ b/decisions/src/main/java/ryemast/pacing/ListCalls.java
@@ -11,11 +11,11 @@
  * <p>A call that failed only after it had waited tells something else: more ask than discovery can answer in
  * its time. As it works for callers that have given up as well, those who soon ask again keep its line so
  * long that nobody is answered, for good (congestion collapse). So those who waited in vain spread out, as
- * senders do on a shared line (binary exponential backoff): the next call is made at the beginning of a window
- * by the clock, drawn among twice as many windows after each such failure, from half
- * of them up to one for {@link #CALLS_A_WINDOW} dispatchers. Calls of one window come together, so that where discovery drops
- * what has waited for too long as many are answered as fit into that time. Until discovery is heard, a call
- * that is turned away at once counts in the same way: the line was full.
+ * senders do on a shared line (binary exponential backoff): the next call is made at the beginning of a
+ * window by the clock, drawn among twice as many windows after each such failure, from half of them up to
+ * one for {@link #CALLS_A_WINDOW} dispatchers. Calls of one window come together, so that where discovery
+ * drops what has waited for too long as many are answered as fit into that time. Until discovery is heard, a
+ * call that is turned away at once counts in the same way: the line was full.
  *
  * <p>Where few ask, or discovery can't be reached at all, no wait is longer than {@link #LONGEST_WAIT},
  * however often calls have failed and whatever the time for asking is: what discovery has counts as notified
@@ -61,7 +61,7 @@
     private static final double WAVE = 0.1;
     /** One window for so many dispatchers. */
     private static final int CALLS_A_WINDOW = 10;
-    /** After the first call in vain so many windows are drawn from, or this part of all. */
+    /** After the first call in vain so many windows are drawn among, or one of so many, if that is more. */
     private static final int LEAST_WINDOWS = 2;
     private static final int FIRST_OF_WINDOWS = 2;
     /**
--- a/decisions/src/test/java/pipitladder/UnheardListTest.java
+++ b/decisions/src/test/java/pipitladder/UnheardListTest.java
@@ -6,7 +6,10 @@
 import static pipitladder.Stage.MS;
 import static pipitladder.Stage.S;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import pipitladder.Dispatcher.DiscoveryLost;
@@ -85,8 +88,9 @@
     void aWorkerWhoseConnectionIsNineSecondsOldIsUsedAgain() {
         stage.list(Stage.worker("a"));
         stage.tell(new DiscoveryLost(stage.now));
+        stage.pass(S);
         long openedAt = stage.now;
-        stage.pass(5 * S);
+        stage.pass(4 * S);
         placed();
         serve("a", openedAt);
         stage.pass(S);
@@ -95,6 +99,24 @@
         assertEquals("a", placed());
     }
 
+    /** Whoever is not seen until the list is out of date can't be used for long after. */
+    @Test
+    void whileDiscoveryIsNotHeardWorkersThatOutlastTheListAreUsedByTurns() {
+        stage.list(Stage.worker("c"), Stage.worker("a"), Stage.worker("b"));
+        long openedAt = stage.now - S;
+        for (var id : List.of("a", "b")) {
+            stage.tell(new WorkerLived(id, openedAt, stage.now));
+        }
+        stage.tell(new DiscoveryLost(stage.now));
+        var used = new ArrayList<String>();
+        for (int i = 0; i < 6; i++) {
+            used.add(placed());
+            serve(used.get(i), openedAt);
+        }
+        assertEquals(Set.of("a", "b"), Set.copyOf(used));
+        assertEquals(3, Collections.frequency(used, "a"));
+    }
+
     @Test
     void anOperatorsDrainIsNoWordOfDiscovery() {
         stage.tell(new DiscoveryLost(stage.now - 6 * S));
--- a/decisions/src/test/java/ryemast/membership/ListAgeTest.java
+++ b/decisions/src/test/java/ryemast/membership/ListAgeTest.java
@@ -106,6 +106,44 @@
         assertEquals(26 * S, age.usableUntil(replaced, 20 * S, listed + 6 * S));
     }
 
+    /** Else none could ever be used until discovery is heard. */
+    @Test
+    void afterAStartAProcessThatWasSeenBeforeTheFirstListWasTooOldIsTheListedOne() {
+        age.startedWithList(10 * S);
+        age.lost(7 * S, 10 * S);
+        var seen = new ProcessLife();
+        seen.seen(13 * S, 14 * S);
+        assertTrue(age.permits(seen, 12 * S, 17 * S));
+        assertEquals(18 * S, age.usableUntil(seen, 12 * S, 12 * S));
+        seen.seen(14 * S + 1, 15 * S);
+        assertFalse(age.permits(seen, 14 * S, 17 * S));
+        age.heard();
+        age.lost(11 * S, 14 * S);
+        var other = new ProcessLife();
+        other.seen(12 * S, 14 * S);
+        assertFalse(age.permits(other, 14 * S, 18 * S));
+    }
+
+    /** A watch that said something two seconds before would have told of an end in between. */
+    @Test
+    void aProcessThatWasSeenBeforeTheWatchEndedIsTheListedOneUnlessTheWatchWasSilent() {
+        life.seen(11 * S, 13 * S);
+        age.lost(10 * S, 12 * S);
+        assertTrue(permits(13 * S, 18 * S));
+        age.heard();
+        age.lost(10 * S, 13 * S);
+        assertFalse(permits(13 * S, 18 * S));
+    }
+
+    @Test
+    void onlyAProcessThatIsOldEnoughOutlastsTheList() {
+        age.lost(10 * S, 10 * S);
+        assertTrue(age.outlastsList(life, 11 * S));
+        life.seen(11 * S, 12 * S);
+        assertFalse(age.outlastsList(life, 13 * S));
+        assertTrue(age.outlastsList(life, 20 * S));
+    }
+
     @Test
     void aWorkerThatWasNeverSeenIsNotUsed() {
         age.lost(10 * S, 10 * S);
