Let a worker's process die and be replaced in the soak

One of four now crashes and starts anew at the same address by chance; discovery tells of both, and the judge knows since when each counts as notified.

--- a/app/src/test/java/ryemast/it/Peer.java
+++ b/app/src/test/java/ryemast/it/Peer.java
@@ -49,7 +49,11 @@
     void crash() throws IOException {
         listener.close();
         for (var wire : wires) {
-            wire.reset();
+            try {
+                wire.reset();
+            } catch (SocketException e) {
+                // It has ended already.
+            }
         }
         wires.clear();
     }
--- a/app/src/test/java/ryemast/it/SoakDiscovery.java
+++ b/app/src/test/java/ryemast/it/SoakDiscovery.java
@@ -22,16 +22,26 @@
     private static final long BEAT_MS = 500;
     private static final long LINE_MS = 1_500;
 
+    /** That a worker drains or is gone, until it is back if it comes back. */
     private static final class Drain {
         private final long at;
+        private final boolean gone;
         private long notifiedAt;
+        /** When it came back, and since when the dispatcher counts as notified of that. */
+        private long backAt = Long.MAX_VALUE;
+        private long backNotifiedAt = Long.MAX_VALUE;
         /** Whether the dispatcher was told of it, and not merely counts as notified. */
         private boolean written;
 
-        Drain(long at) {
+        Drain(long at, boolean gone) {
             this.at = at;
+            this.gone = gone;
             notifiedAt = at + NOTIFIED_AFTER;
         }
+
+        private boolean isBack() {
+            return backAt != Long.MAX_VALUE;
+        }
     }
 
     /** A process may go by the list that it was started with for so long, whatever its age. */
@@ -73,8 +83,13 @@
 
     private String list(boolean known) {
         var servers = new ArrayList<String>();
-        addresses.forEach((id, address) -> servers.add(entry(id, address,
-                drains.containsKey(id) && (!known || drains.get(id).written))));
+        addresses.forEach((id, address) -> {
+            var drain = drains.get(id);
+            boolean told = drain != null && !drain.isBack() && (!known || drain.written);
+            if (!told || !drain.gone) {
+                servers.add(entry(id, address, told));
+            }
+        });
         return "{\"version\":" + version + ",\"full\":true,\"servers\":[" + String.join(",", servers) + "]}";
     }
 
@@ -87,17 +102,38 @@
     /** Since when the dispatcher counts as notified that the worker drains; the largest number for never. */
     synchronized long notifiedAt(String worker) {
         var drain = drains.get(worker);
-        return drain == null ? Long.MAX_VALUE : drain.notifiedAt;
+        boolean over = drain == null || System.nanoTime() >= drain.backNotifiedAt;
+        return over ? Long.MAX_VALUE : drain.notifiedAt;
     }
 
     /** The worker drains from now on; watches that are open and not silent are told. */
     synchronized void drain(SoakWorker worker) {
-        var drain = new Drain(System.nanoTime());
+        worker.drains = true;
+        changes(worker, false);
+    }
+
+    /** The worker's process has died; watches are told likewise. */
+    synchronized void gone(SoakWorker worker) {
+        changes(worker, true);
+    }
+
+    /** A new process of the worker has started. */
+    synchronized void back(SoakWorker worker) {
+        var drain = drains.get(worker.id);
+        drain.backAt = System.nanoTime();
+        drain.backNotifiedAt = drain.backAt + NOTIFIED_AFTER;
+        version++;
+        if (silentSince == Long.MAX_VALUE && mode == Mode.ANSWERS) {
+            broadcast(list());
+        }
+    }
+
+    private void changes(SoakWorker worker, boolean gone) {
+        var drain = new Drain(System.nanoTime(), gone);
         if (silentSince != Long.MAX_VALUE && !watches.isEmpty()) {
             drain.notifiedAt = Math.max(drain.at, Math.min(drain.notifiedAt, silentSince + NOTIFIED_AFTER));
         }
         drains.put(worker.id, drain);
-        worker.drains = true;
         version++;
         if (silentSince == Long.MAX_VALUE && mode == Mode.ANSWERS) {
             broadcast(list());
@@ -111,6 +147,8 @@
             long since = downSince;
             drains.values().stream().filter(each -> each.at >= since)
                     .forEach(each -> each.notifiedAt = now + NOTIFIED_AFTER);
+            drains.values().stream().filter(each -> each.isBack() && each.backAt >= since)
+                    .forEach(each -> each.backNotifiedAt = now + NOTIFIED_AFTER);
             downSince = Long.MAX_VALUE;
         }
         if (next == Mode.DOWN && mode != Mode.DOWN) {
@@ -137,6 +175,8 @@
     synchronized void moved() {
         long latest = System.nanoTime() + NOTIFIED_AFTER_MOVE;
         drains.values().forEach(each -> each.notifiedAt = Math.min(each.notifiedAt, latest));
+        drains.values().stream().filter(Drain::isBack)
+                .forEach(each -> each.backNotifiedAt = Math.min(each.backNotifiedAt, latest));
     }
 
     /** All open watches are reset. */
@@ -178,6 +218,7 @@
 
     private void notified() {
         long now = System.nanoTime();
+        drains.values().removeIf(Drain::isBack);
         for (var each : drains.values()) {
             each.notifiedAt = Math.min(each.notifiedAt, now);
             each.written = true;
--- a/app/src/test/java/ryemast/it/SoakRules.java
+++ b/app/src/test/java/ryemast/it/SoakRules.java
@@ -159,6 +159,17 @@
         }
     }
 
+    /** The worker's process has died, and with it whatever was out there. */
+    synchronized void crashed(String worker) {
+        for (var job : jobs.values()) {
+            job.attempts.stream().filter(each -> each.end == End.OUT && each.worker.equals(worker))
+                    .forEach(each -> {
+                        each.end = End.ENDED;
+                        job.note("lost as " + worker + " crashed");
+                    });
+        }
+    }
+
     /** The client got this answer; 429 and 503 promise that nothing has run. */
     synchronized void answered(String txn, int status) {
         var job = jobs.get(txn);
--- a/app/src/test/java/ryemast/it/SoakRun.java
+++ b/app/src/test/java/ryemast/it/SoakRun.java
@@ -61,6 +61,10 @@
     private static final int CLIENTS = 12;
     private static final int TROUBLES = 14;
     private static final long HELD_UP_MS = 100;
+    /** The choice of a trouble that replaces a worker's process. */
+    private static final int REPLACES = 94;
+    /** A process that has died is replaced at one in so many steps at least. */
+    private static final int ABSENT_STEPS = 4;
     private static final int COUNTED_DEADLINE_MS = 3_000;
     private static final int KILLED_AFTER_MS = 700;
     /** For so long after SIGTERM new connections come. */
@@ -81,6 +85,8 @@
     private final List<String> story = new ArrayList<>();
     private Process process;
     private int drained;
+    /** The last worker's process has died, and no other has started. */
+    private boolean absent;
 
     SoakRun(long seed) throws Exception {
         random = new Random(seed);
@@ -108,7 +114,7 @@
             crowd.add(Wire.to(program.address()));
         }
         for (int i = 0; i < TROUBLES; i++) {
-            trouble(random.nextInt(100));
+            trouble(absent && random.nextInt(ABSENT_STEPS) == 0 ? REPLACES : random.nextInt(100));
             Thread.sleep(200 + random.nextInt(500));
             faults.none();
         }
@@ -166,15 +172,31 @@
             discovery(random.nextInt(6));
         } else if (choice < 86) {
             move();
-        } else if (choice < 93) {
+        } else if (choice < 90) {
             tell("held up");
             holdUp();
+        } else if (choice < 95) {
+            replace();
         } else {
             kill();
             start();
         }
     }
 
+    /** The last worker's process dies, or a new one takes its place. */
+    private void replace() throws Exception {
+        var worker = workers.get(WORKERS - 1);
+        tell(worker.id + (absent ? " starts anew" : " crashes"));
+        if (absent) {
+            worker.startAnew();
+            discovery.back(worker);
+        } else {
+            discovery.gone(worker);
+            worker.crash();
+        }
+        absent = !absent;
+    }
+
     private void holdUp() throws Exception {
         long before = System.nanoTime();
         Program.signal(process, "STOP");
--- a/app/src/test/java/ryemast/it/SoakWorker.java
+++ b/app/src/test/java/ryemast/it/SoakWorker.java
@@ -36,6 +36,9 @@
     });
     private final Set<String> givenUp = ConcurrentHashMap.newKeySet();
     private final ConcurrentHashMap<Wire, String> unanswered = new ConcurrentHashMap<>();
+    /** Goes up with each process: what an earlier one had taken is not told of any more. */
+    private volatile int process;
+    private volatile boolean dead;
     volatile boolean drains;
     volatile boolean misbehaves = true;
 
@@ -65,6 +68,10 @@
         }
         var txn = message.headers().get("x-txn");
         rules.arrived(id, message, notifiedAt.get());
+        if (dead) {
+            rules.ended(id, txn, SoakRules.End.ENDED);
+            return;
+        }
         if (wire.hasEnded()) {
             // Given up before the 202.
             rules.ended(id, txn, SoakRules.End.GIVEN_UP);
@@ -105,6 +112,21 @@
         }
     }
 
+    /** The process dies: its connections are reset, its jobs are lost, and nobody listens. */
+    void crash() throws IOException {
+        dead = true;
+        process++;
+        rules.crashed(id);
+        unanswered.clear();
+        peer.crash();
+    }
+
+    /** A new process listens at its address. */
+    void startAnew() throws IOException {
+        dead = false;
+        peer.startAnew();
+    }
+
     private void connectionEnded(Wire wire) {
         var txn = unanswered.remove(wire);
         if (txn != null) {
@@ -114,8 +136,9 @@
 
     /** Tells of the job's state after so many milliseconds, again and again until it is heard. */
     private void later(String txn, String state, int millis) {
+        int taker = process;
         threads.schedule(() -> {
-            if (givenUp.contains(txn)) {
+            if (givenUp.contains(txn) || taker != process) {
                 return;
             }
             if (!state.equals("started")) {
