Treat a worker that may have been replaced unheard as cold

Found by the search for the same mistake in related code: what is known of a worker's start came from the list alone, which was out of date. Its process counts as started when it was first seen now, unless it was seen before discovery was lost (ListAge.mayHaveStartedAt). UnheardListTest.aWorkerThatMayHaveBeenReplacedUnheard... failed before and passes now. Also a test that calls which were reset in line are not made at once.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -255,13 +255,13 @@
     }
 
     private double warmth(Worker worker) {
-        return cold.warmth(worker.info.startedAt(), now);
+        return cold.warmth(discovered.startOf(worker, now), now);
     }
 
     /** Guards a cold worker against falling over, with our part of what all may send there. */
     private boolean coldAllows(Job job, Worker worker) {
-        return warmth(worker) >= 1 || cold.allows(worker.code, worker.info.startedAt(), capacity(worker),
-                jobWork.towards(0, FEW_JOBS), job.work,
+        return warmth(worker) >= 1 || cold.allows(worker.code, discovered.startOf(worker, now),
+                capacity(worker), jobWork.towards(0, FEW_JOBS), job.work,
                 worker.workSentSince(now - settings.rules().coldWindow()), bornAt, now);
     }
 
@@ -396,7 +396,7 @@
             }
             estimate(worker);
             double appeal = worker.rate / (1 + worker.wait * SECOND / job.jobClass.aim());
-            appeal *= warmth(worker) >= 1 ? 1 : cold.weight(worker.info.startedAt(), capacity(worker),
+            appeal *= warmth(worker) >= 1 ? 1 : cold.weight(discovered.startOf(worker, now), capacity(worker),
                     jobWork.towards(0, FEW_JOBS), job.work, now);
             topAppeal = Math.max(topAppeal * Rates.MEMORY, appeal);
             if (random.nextDouble() * topAppeal < appeal) {
--- a/decisions/src/main/java/pipitladder/Discovered.java
+++ b/decisions/src/main/java/pipitladder/Discovered.java
@@ -48,6 +48,11 @@
         return age.permits(worker.health.life(), worker.health.provenAt(), now);
     }
 
+    /** When the worker's process started, or may have started unheard. */
+    long startOf(Worker worker, long now) {
+        return Math.max(worker.info.startedAt(), age.mayHaveStartedAt(worker.health.life(), now));
+    }
+
     boolean isHeard() {
         return age.isHeard();
     }
--- a/decisions/src/main/java/ryemast/membership/ListAge.java
+++ b/decisions/src/main/java/ryemast/membership/ListAge.java
@@ -122,6 +122,15 @@
         return isOldEnough(life, Math.max(now, outdatedAt));
     }
 
+    /**
+     * Since when a worker may have been replaced unheard: its process is as cold as one that started then. 0
+     * where it is the one that the list means.
+     */
+    public long mayHaveStartedAt(ProcessLife life, long now) {
+        boolean listed = life.since() <= Math.max(listedBy, outdatedAt - NOTIFIED_AFTER);
+        return listed || !isOutdated(now) || life.since() == ProcessLife.NEVER ? 0 : life.since();
+    }
+
     private long provenUntil(long provenAt) {
         return provenAt < lostAt ? Long.MIN_VALUE : provenAt + NOTIFIED_AFTER;
     }
--- a/decisions/src/test/java/pipitladder/UnheardListTest.java
+++ b/decisions/src/test/java/pipitladder/UnheardListTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static pipitladder.Stage.MS;
 import static pipitladder.Stage.S;
 
@@ -17,6 +18,9 @@
 import pipitladder.Dispatcher.KeyScope;
 import pipitladder.Dispatcher.ListKind;
 import pipitladder.Dispatcher.Refuse;
+import pipitladder.Dispatcher.Rules;
+import pipitladder.Dispatcher.Send;
+import pipitladder.Dispatcher.Settings;
 import pipitladder.Dispatcher.WorkerList;
 import pipitladder.Dispatcher.WorkerLived;
 
@@ -99,6 +103,41 @@
         assertEquals("a", placed());
     }
 
+    /** Its process may be new, and a cold worker falls over under what a warm one bears. */
+    @Test
+    void aWorkerThatMayHaveBeenReplacedUnheardGetsNoMoreThanAColdOne() {
+        int listed = placedAtOnce(9 * S);
+        int perhapsReplaced = placedAtOnce(-S);
+        assertTrue(perhapsReplaced < listed, perhapsReplaced + " of " + listed);
+        assertTrue(perhapsReplaced > 0);
+    }
+
+    /** How many jobs a worker gets at once 10 s after the loss, its connection being that much older. */
+    private static int placedAtOnce(long openedBefore) {
+        var settings = Stage.settings(Effect.REPEATABLE, KeyScope.ALL);
+        var slow = new Rules(10 * S, 60 * S, 0.1, 4, 2 * S);
+        var colder = new Stage(new Settings(0, 1, 0, MS, true, false, true, S, settings.classes(), List.of(),
+                List.of(), settings.limits(), slow, settings.prices()));
+        colder.list(Stage.worker("a"));
+        colder.tell(new DiscoveryLost(colder.now));
+        long openedAt = colder.now - openedBefore;
+        long lostAt = colder.now;
+        colder.pass(S);
+        for (int i = 0; i < 5; i++) {
+            colder.place(i);
+            colder.tell(new WorkerLived("a", openedAt, colder.now));
+            colder.serve(i);
+            colder.pass(600 * MS);
+        }
+        colder.pass(lostAt + 10 * S - colder.now);
+        int before = colder.all(Send.class).size();
+        for (int i = 0; i < 60; i++) {
+            colder.request(100 + i);
+        }
+        colder.pass(100 * MS);
+        return colder.all(Send.class).size() - before;
+    }
+
     /** Whoever is not seen until the list is out of date can't be used for long after. */
     @Test
     void whileDiscoveryIsNotHeardWorkersThatOutlastTheListAreUsedByTurns() {
--- a/decisions/src/test/java/ryemast/membership/ListAgeTest.java
+++ b/decisions/src/test/java/ryemast/membership/ListAgeTest.java
@@ -135,6 +135,18 @@
         assertFalse(permits(13 * S, 18 * S));
     }
 
+    @Test
+    void aProcessThatTheListDoesNotMeanIsAsColdAsIfItHadStartedWhenItWasFirstSeen() {
+        age.lost(10 * S, 10 * S);
+        assertEquals(0, age.mayHaveStartedAt(life, 17 * S));
+        assertEquals(0, age.mayHaveStartedAt(new ProcessLife(), 17 * S));
+        life.seen(11 * S, 20 * S);
+        assertEquals(0, age.mayHaveStartedAt(life, 16 * S - 1));
+        assertEquals(11 * S, age.mayHaveStartedAt(life, 20 * S));
+        age.heard();
+        assertEquals(0, age.mayHaveStartedAt(life, 20 * S));
+    }
+
     @Test
     void onlyAProcessThatIsOldEnoughOutlastsTheList() {
         age.lost(10 * S, 10 * S);
--- a/decisions/src/test/java/ryemast/pacing/ListCallsTest.java
+++ b/decisions/src/test/java/ryemast/pacing/ListCallsTest.java
@@ -187,6 +187,17 @@
         }
     }
 
+    /** They were in line, so that nothing had been written to them. */
+    @Test
+    void callsThatAreResetAfterWaitingInLineAreNotMadeAgainAtOnce() {
+        int soon = 0;
+        for (int self = 0; self < 100; self++) {
+            var calls = calls(self, 100);
+            soon += calls.broke(calls.first(0) + 2 * SECOND) <= 3 * SECOND / 10 ? 1 : 0;
+        }
+        assertTrue(soon <= 20, soon + " of 100");
+    }
+
     /** Guards the half second after a drain is told: an agent of one's own is asked again at once, always. */
     @Test
     void whereListsArePushedNoPauseGrowsOrDependsOnOthers() {
