Keep a list as old as a silent watch left it where SIGHUP names another discovery

What callers would see: requests at draining workers up to 0.6 s after the grace. Cause: DiscoveryWatch.moveTo told the module that discovery was last heard two seconds before, whatever the watch that it leaves had been: one that had been silent for 2.9 s, and counts from when it fell silent, made the list good until 6.9 s after its last word in place of 6. Change: the watch that is left tells when it was last heard, as it does at any other end.

--- a/app/src/test/java/ryemast/it/UnheardListIT.java
+++ b/app/src/test/java/ryemast/it/UnheardListIT.java
@@ -29,6 +29,8 @@
     private static final long RUN_MS = 200;
     private static final int CLIENTS = 8;
     private static final long SHORT_MS = 300;
+    /** For so long a watch may be silent that is not known to be. */
+    private static final long UNNOTICED_MS = 2_900;
     /** For so long a worker's process is away that is replaced. */
     private static final long ABSENT_MS = 2_500;
 
@@ -268,4 +270,23 @@
             }
         }
     }
+
+    /** What the silent watch missed counts as notified 6 s after it fell silent, whoever is asked next. */
+    @Test
+    void aSilentWatchThatIsLeftForAnotherDiscoveryLeavesTheListAsOldAsItIs() throws Exception {
+        try (var platform = Platform.ofForty(); var elsewhere = new Peer(UnheardListIT::crowded)) {
+            serves(platform, platform.one);
+            serves(platform, platform.two);
+            try (var load = new Load(platform)) {
+                until(() -> load.statuses.size() > 50);
+                platform.muteTable();
+                platform.broadcast("");
+                long silentSince = System.nanoTime();
+                sleepUntil(after(silentSince, UNNOTICED_MS));
+                platform.reload(platform.configWith(elsewhere));
+                sleepUntil(after(silentSince, NOTIFIED_MS + GRACE_MS));
+                assertTrue(platform.log.stream().anyMatch(line -> line.contains("is out of date")));
+            }
+        }
+    }
 }
--- a/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
+++ b/net/src/main/java/ryemast/net/discovery/DiscoveryWatch.java
@@ -102,6 +102,10 @@
             discovery = address;
             version = 0;
             hasty = 0;
+            if (watch != null) {
+                // It may have been silent for a while already.
+                watch.lost();
+            }
             members.discoveryLost(loop.now() + ListAge.NOTIFIED_AFTER_MOVE - ListAge.NOTIFIED_AFTER);
             watch(shortPatience());
         }
