Take turns among workers that outlast the list by last use, within the site's idle limit

Discovered preferred workers seen within 3 s, as connections are kept for 3.75 s: true of a site with conn_idle = 5 s alone. It is six tenths of conn_idle now, which Limits carries (a constructor without it takes 5 s). And all jobs of a round went to the worker that was seen least lately, as nothing is seen before the first answer: six of six in the new test. The last send counts as well now, and of those alike the one with least out comes first.

--- a/decisions/src/main/java/pipitladder/Brain.java
+++ b/decisions/src/main/java/pipitladder/Brain.java
@@ -89,7 +89,7 @@
         rates = new Rates(settings);
         var rules = settings.rules();
         discovered = new Discovered(new ListCalls(settings.self(), settings.dispatchers(), rules.askEvery(),
-                settings.listPushed(), random), settings.listPushed());
+                settings.listPushed(), random), settings.listPushed(), settings.limits().connIdle());
         cold = new ColdBudget(settings.self(), settings.dispatchers(), rules.coldFor(), rules.coldCapacity(),
                 rules.coldMultiple(), rules.coldWindow(), rates.knowsCapacity());
         health = new Health(settings.startsReported(), settings.progressInterval(), period,
@@ -425,7 +425,7 @@
         return discovered.outlastingList(reach.listed(), now)
                 .filter(worker -> worker != except && permits(job, worker) && fits(job, worker)
                         && isInTime(job, worker))
-                .min(Discovered.SEEN_LEAST_LATELY)
+                .min(Discovered.USED_LEAST_LATELY)
                 .orElseGet(() -> chooseAmongAll(job, except));
     }
 
--- a/decisions/src/main/java/pipitladder/Discovered.java
+++ b/decisions/src/main/java/pipitladder/Discovered.java
@@ -20,24 +20,29 @@
     /** Discovery need not be asked. */
     static final long NO_CALL = -1;
     private static final long MICROS_PER_MS = 1_000;
-    /** So long after its last job a worker's connection is still there for the next, in microseconds. */
-    private static final long KEPT = 3_000_000;
-    /** By this order each of them is seen again before its connection is closed. */
-    static final Comparator<Worker> SEEN_LEAST_LATELY =
-            Comparator.comparingLong(worker -> worker.health.life().until());
+    /** Of the time after which a worker closes an idle connection: so long one is kept here at least. */
+    private static final double KEPT = 0.6;
+    /** In this order each is seen again before its connection is closed; of those alike, with least out. */
+    static final Comparator<Worker> USED_LEAST_LATELY =
+            Comparator.comparingLong(Worker::usedAt).thenComparing(worker -> worker.attempts.size());
 
     private final ListAge age = new ListAge();
     private final ListCalls calls;
     private final boolean pushed;
+    private final long kept;
     private boolean wasOutdated;
     /** Workers that were used although the list was out of date, since it became so. */
     private final Set<String> reliedOn = new HashSet<>();
     private final List<String> lines = new ArrayList<>();
 
-    /** {@code pushed}: whether changes come unasked. */
-    Discovered(ListCalls calls, boolean pushed) {
+    /**
+     * @param pushed    whether changes come unasked
+     * @param connIdle  after how long a worker closes an idle connection
+     */
+    Discovered(ListCalls calls, boolean pushed, long connIdle) {
         this.calls = calls;
         this.pushed = pushed;
+        kept = (long) (connIdle * KEPT);
     }
 
     /** Discovery is not listened to any more; its last word came at {@code heardAt}. */
@@ -61,7 +66,7 @@
      */
     Stream<Worker> outlastingList(Stream<Worker> workers, long now) {
         return age.isHeard() ? Stream.empty()
-                : workers.filter(worker -> worker.health.life().until() > now - KEPT
+                : workers.filter(worker -> worker.health.life().until() > now - kept
                 && age.outlastsList(worker.health.life(), now));
     }
 
--- a/decisions/src/main/java/pipitladder/Dispatcher.java
+++ b/decisions/src/main/java/pipitladder/Dispatcher.java
@@ -136,9 +136,23 @@
     record Tenant(double quotaPerSecond) {
     }
 
-    /** What the deployment permits. */
+    /**
+     * What the deployment permits.
+     *
+     * @param connIdle  after how long a worker closes a connection that nothing is sent on
+     */
     record Limits(int maxAttempts, boolean secondCopies, boolean cancel, boolean probes, boolean peerMessages,
-            boolean retryAfter, long maxRetryAfter, long connectTimeout) {
+            boolean retryAfter, long maxRetryAfter, long connectTimeout, long connIdle) {
+
+        /** Where the deployment does not say otherwise, in microseconds. */
+        public static final long USUAL_CONN_IDLE = 5_000_000;
+
+        /** Those of a deployment that says nothing of idle connections. */
+        public Limits(int maxAttempts, boolean secondCopies, boolean cancel, boolean probes,
+                boolean peerMessages, boolean retryAfter, long maxRetryAfter, long connectTimeout) {
+            this(maxAttempts, secondCopies, cancel, probes, peerMessages, retryAfter, maxRetryAfter,
+                    connectTimeout, USUAL_CONN_IDLE);
+        }
     }
 
     /**
--- a/decisions/src/main/java/pipitladder/Ledger.java
+++ b/decisions/src/main/java/pipitladder/Ledger.java
@@ -119,6 +119,7 @@
         /** Outstanding work in slot-seconds; a job known to run counts half, as on average half is left. */
         double work;
         long probedAt;
+        private long sentAt = Long.MIN_VALUE;
         /** Others' jobs, as peers or load reports told of them. */
         final List<Told> told = new ArrayList<>();
         Borrowed borrowed;
@@ -170,7 +171,13 @@
                     info.startedAt(), info.share());
         }
 
+        /** When a job was last sent there, or the worker was last seen to live if that is later. */
+        long usedAt() {
+            return Math.max(sentAt, health.life().until());
+        }
+
         void sent(long now, double work, long window) {
+            sentAt = now;
             workSentSince(now - window);
             recent.add(new double[] {now, work});
         }
--- a/decisions/src/main/java/ryemast/settings/SettingsReader.java
+++ b/decisions/src/main/java/ryemast/settings/SettingsReader.java
@@ -80,7 +80,7 @@
         return new Limits((int) number(allowed, "max_attempts", 1), flag(allowed, "second_copies"),
                 flag(allowed, "cancelling"), flag(allowed, "probes"), flag(allowed, "peer_messages"),
                 flag(allowed, "retry_after"), time(allowed, "max_retry_after", 0),
-                time(allowed, "connect_timeout", 0));
+                time(allowed, "connect_timeout", 0), time(allowed, "conn_idle", Limits.USUAL_CONN_IDLE));
     }
 
     private Rules rules() {
--- a/decisions/src/test/java/pipitladder/UnheardListTest.java
+++ b/decisions/src/test/java/pipitladder/UnheardListTest.java
@@ -16,6 +16,7 @@
 import pipitladder.Dispatcher.DiscoveryLost;
 import pipitladder.Dispatcher.Effect;
 import pipitladder.Dispatcher.KeyScope;
+import pipitladder.Dispatcher.Limits;
 import pipitladder.Dispatcher.ListKind;
 import pipitladder.Dispatcher.Refuse;
 import pipitladder.Dispatcher.Rules;
@@ -156,6 +157,32 @@
         assertEquals(3, Collections.frequency(used, "a"));
     }
 
+    /** A job there would open a new one, which says nothing of the time before. */
+    @Test
+    void workersWhoseConnectionsAreClosedByNowAreNotPreferred() {
+        assertEquals(List.of("a", "a", "a", "b", "b", "b"), usedAfterARest(5 * S));
+        assertTrue(usedAfterARest(S).contains("c"));
+    }
+
+    /** Where jobs go that come 0.8 s after two of three workers were last seen. */
+    private static List<String> usedAfterARest(long connIdle) {
+        var settings = Stage.settings(Effect.REPEATABLE, KeyScope.ALL);
+        var limits = new Limits(4, true, true, false, false, false, 0, 250 * MS, connIdle);
+        var rested = new Stage(new Settings(0, 1, 0, MS, true, false, true, S, settings.classes(), List.of(),
+                List.of(), limits, settings.rules(), settings.prices()));
+        rested.list(Stage.worker("c"), Stage.worker("a"), Stage.worker("b"));
+        for (var id : List.of("a", "b")) {
+            rested.tell(new WorkerLived(id, rested.now - S, rested.now));
+        }
+        rested.tell(new DiscoveryLost(rested.now));
+        rested.pass(800 * MS);
+        for (int i = 0; i < 6; i++) {
+            rested.request(i);
+        }
+        rested.pass(100 * MS);
+        return rested.all(Send.class).stream().map(Send::worker).sorted().toList();
+    }
+
     @Test
     void anOperatorsDrainIsNoWordOfDiscovery() {
         stage.tell(new DiscoveryLost(stage.now - 6 * S));
