Review, case 1: a guarded batch job runs again outside the window for repeats

A batch job of a guarded class with group 'all' whose worker hangs in the middle of its work is refused by the module at its deadline; the batch front takes that as proof that it has not run and hands it in again under a new name, outside the window. Beside it the stand-ins that the cases share.

--- /dev/null
+++ b/review/standin/Worker.java
@@ -0,0 +1,173 @@
+package review;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+
+/**
+ * A worker as the protocol page has it: takes a job with 202, tells its start and its end by call-back, each tried
+ * until it is answered, ten times at most, and drops an unfinished job at DELETE. While it hangs it says nothing at
+ * all: neither answers nor calls back; what came meanwhile is seen to afterwards.
+ */
+final class Worker {
+
+    /** A job that reached a worker. */
+    static final class Visit {
+        final String worker;
+        final String txn;
+        final String path;
+        final long at;
+        volatile long ranAt = -1;
+        volatile boolean discarded;
+
+        Visit(String worker, String txn, String path, long at) {
+            this.worker = worker;
+            this.txn = txn;
+            this.path = path;
+            this.at = at;
+        }
+    }
+
+    /** Of all workers together: which keys of guarded jobs they have seen, for as long as the settings say. */
+    static final class Keys {
+        final long windowMs;
+        private final Map<String, Long> seen = new ConcurrentHashMap<>();
+
+        Keys(long windowMs) {
+            this.windowMs = windowMs;
+        }
+
+        /** Whether a repeat of this key is to be discarded now. */
+        synchronized boolean repeats(String key, long now) {
+            var first = seen.get(key);
+            if (first != null && now - first < windowMs) {
+                return true;
+            }
+            seen.put(key, now);
+            return false;
+        }
+    }
+
+    final String id;
+    final int port;
+    private final Record record;
+    private final long workMs;
+    private final int backTo;
+    /** All visits to all workers, in their order. */
+    private final List<Visit> visits;
+    private final Set<String> dropped = ConcurrentHashMap.newKeySet();
+    /** Null: no class of the test is guarded. */
+    private final Keys keys;
+    /** Called when half of a job's work is done and its effect is there. */
+    volatile Runnable onEffect = () -> { };
+    /** Which jobs end as failed. */
+    volatile Predicate<String> fails = path -> false;
+    private volatile long hangsUntil;
+
+    Worker(String id, Record record, long workMs, int backTo, List<Visit> visits, Keys keys) throws IOException {
+        this.id = id;
+        this.record = record;
+        this.workMs = workMs;
+        this.backTo = backTo;
+        this.visits = visits;
+        this.keys = keys;
+        port = Http.freePort();
+        Http.serve(port, this::take);
+    }
+
+    void hang(long ms) {
+        hangsUntil = record.now() + ms;
+        record.add(id, "hangs for " + ms + " ms");
+    }
+
+    private void untilItGoesOn() {
+        while (record.now() < hangsUntil) {
+            try {
+                Thread.sleep(10);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private boolean take(Http.Message request, OutputStream out) throws Exception {
+        untilItGoesOn();
+        var none = new byte[0];
+        if (request.first().equals("DELETE")) {
+            var txn = request.second().substring(request.second().lastIndexOf('/') + 1);
+            dropped.add(txn);
+            record.add(id, "is told to drop " + txn);
+            Http.answer(out, 200, "text/plain", none);
+            return true;
+        }
+        var txn = request.header("X-Txn");
+        if (!request.first().equals("POST") || txn == null) {
+            Http.answer(out, 404, "text/plain", none);
+            return true;
+        }
+        var visit = new Visit(id, txn, request.second(), record.now());
+        visits.add(visit);
+        record.add(id, "gets " + txn + " " + request.second() + ", remaining " + request.header("X-Remaining-Ms"));
+        Http.answer(out, 202, "text/plain", none);
+        Http.daemon(() -> run(visit));
+        return true;
+    }
+
+    private void run(Visit visit) {
+        try {
+            tell(visit, "\"state\":\"started\"");
+            var key = visit.path.substring(visit.path.lastIndexOf('/') + 1);
+            if (fails.test(visit.path)) {
+                Thread.sleep(workMs);
+                tell(visit, "\"state\":\"failed\"");
+                return;
+            }
+            if (dropped.contains(visit.txn)) {
+                record.add(id, "drops " + visit.txn + ", which has not run");
+                return;
+            }
+            if (keys != null && keys.repeats(key, record.now())) {
+                visit.discarded = true;
+                record.add(id, "discards the repeat of " + key + " (" + visit.txn + ")");
+            } else {
+                Thread.sleep(workMs / 2);
+                visit.ranAt = record.now();
+                record.add(id, "RUNS " + key + " (" + visit.txn + "): its effect is there");
+                onEffect.run();
+                untilItGoesOn();
+                Thread.sleep(workMs / 2);
+            }
+            tell(visit, "\"state\":\"done\",\"result\":\"made-of-" + key + "-by-" + visit.txn + "\"");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void tell(Visit visit, String what) throws InterruptedException {
+        var body = "{\"id\":\"" + visit.txn + "\",\"from\":\"" + id + "\"," + what + "}";
+        for (int i = 0; i < 10; i++) {
+            untilItGoesOn();
+            try {
+                int status = Integer.parseInt(Http.call(backTo, "POST", "/v1/job-events", Map.of(),
+                        body.getBytes(StandardCharsets.UTF_8), 2_000).second());
+                record.add(id, "tells " + body + " -> " + status);
+                if (status == 200 || status == 204) {
+                    return;
+                }
+            } catch (IOException | RuntimeException e) {
+                record.add(id, "could not tell " + body + ": " + e);
+            }
+            Thread.sleep(300);
+        }
+    }
+
+    static List<Visit> visits() {
+        return java.util.Collections.synchronizedList(new ArrayList<>());
+    }
+}
