Review: cases by gravity; case 3 is a stale holder that sends a job of the timetable

The case of the counts after a restart made way for a graver one: a dispatcher that is stopped past its lease while its connection to a worker comes up sends the job of its fire after its fence has moved, as the lease is checked before the connection is opened and not when it is up.

--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -60,7 +60,7 @@
         return server;
     }
 
-    private static void connection(Socket socket, Handler handler) {
+    static void connection(Socket socket, Handler handler) {
         try (socket) {
             socket.setTcpNoDelay(true);
             var in = new BufferedInputStream(socket.getInputStream());
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -44,8 +43,6 @@
     private Discovery discovery;
     private Process dispatcher;
     private int starts;
-    /** Further lines of the operator file. */
-    String operatorLines = "";
 
     Site(Path caseFolder, String settings) throws IOException {
         this.settings = settings;
@@ -120,34 +117,39 @@
         return new Said(process.exitValue(), out.toString().strip());
     }
 
-    /** Starts the dispatcher with the deploy file's command, and waits until clients may come. */
+    /** Starts the dispatcher with the batch front, and waits until clients may come. */
     void start() throws Exception {
+        dispatcher = start("n0", listen, discovery, "[batch]\nlisten = \"127.0.0.1:" + batch + "\"\nfolder = \""
+                + folder.resolve("batch") + "\"\nkeys_folder = \"" + folder.resolve("keys") + "\"\n");
+    }
+
+    /** Starts a dispatcher with the deploy file's command, and waits until clients may come. */
+    Process start(String name, int at, Discovery table, String operatorFile) throws Exception {
         var run = Files.readAllLines(root.resolve("deploy/balancer.toml")).stream()
                 .filter(each -> each.startsWith("run = \"")).findFirst()
                 .orElseThrow(() -> new CannotRun("deploy/balancer.toml has no run"));
         run = run.substring("run = \"".length(), run.lastIndexOf('"'));
-        var config = folder.resolve("config.json");
-        Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen + "\",\"discovery\":\"127.0.0.1:"
-                + discovery.port + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
-                + "\"sockets\":1024},\"known\":" + discovery.list() + ",\"settings\":" + settings + "}");
-        var operator = folder.resolve("operator.toml");
-        Files.writeString(operator, "[batch]\nlisten = \"127.0.0.1:" + batch + "\"\nfolder = \""
-                + folder.resolve("batch") + "\"\nkeys_folder = \"" + folder.resolve("keys") + "\"\n" + operatorLines);
+        var config = folder.resolve("config-" + name + ".json");
+        Files.writeString(config, "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + at
+                + "\",\"discovery\":\"127.0.0.1:" + table.port + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":"
+                + "{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":" + table.list()
+                + ",\"settings\":" + settings + "}");
+        var operator = folder.resolve("operator-" + name + ".toml");
+        Files.writeString(operator, operatorFile);
         var temporary = Files.createDirectories(folder.resolve("tmp" + ++starts));
         var builder = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile());
-        Map<String, String> environment = builder.environment();
-        environment.putAll(new HashMap<>(Map.of("BALANCER_NAME", "n0", "BALANCER_LISTEN", "127.0.0.1:" + listen,
-                "BALANCER_DISCOVERY", "127.0.0.1:" + discovery.port, "BALANCER_CONFIG", config.toString(),
-                "TMPDIR", temporary.toString(), "RYEMAST_OPERATOR", operator.toString())));
+        builder.environment().putAll(Map.of("BALANCER_NAME", name, "BALANCER_LISTEN", "127.0.0.1:" + at,
+                "BALANCER_DISCOVERY", "127.0.0.1:" + table.port, "BALANCER_CONFIG", config.toString(),
+                "TMPDIR", temporary.toString(), "RYEMAST_OPERATOR", operator.toString()));
         var log = new File(folder.toFile(), "dispatcher" + starts + ".log");
-        dispatcher = builder.redirectErrorStream(true).redirectOutput(log).start();
-        started.add(dispatcher);
+        var process = builder.redirectErrorStream(true).redirectOutput(log).start();
+        started.add(process);
         long until = record.now() + 30_000;
-        while (record.now() < until && dispatcher.isAlive()) {
+        while (record.now() < until && process.isAlive()) {
             try {
-                if (Http.call(listen, "GET", "/_health", Map.of(), new byte[0], 1_000).second().equals("200")) {
-                    record.add("test", "the dispatcher is ready (start " + starts + ")");
-                    return;
+                if (Http.call(at, "GET", "/_health", Map.of(), new byte[0], 1_000).second().equals("200")) {
+                    record.add("test", name + " is ready (start " + starts + ")");
+                    return process;
                 }
             } catch (IOException | RuntimeException e) {
                 // Not yet.
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -25,13 +25,19 @@
         final long at;
         volatile long ranAt = -1;
         volatile boolean discarded;
+        private final Worker to;
 
-        Visit(String worker, String txn, String path, long at) {
-            this.worker = worker;
+        Visit(Worker to, String txn, String path, long at) {
+            this.to = to;
+            worker = to.id;
             this.txn = txn;
             this.path = path;
             this.at = at;
         }
+
+        boolean at(Worker other) {
+            return to == other;
+        }
     }
 
     /** Of all workers together: which keys of guarded jobs they have seen, for as long as the settings say. */
@@ -56,6 +62,7 @@
 
     final String id;
     final int port;
+    private final Gate gate;
     private final Record record;
     private final long workMs;
     private final int backTo;
@@ -77,8 +84,18 @@
         this.backTo = backTo;
         this.visits = visits;
         this.keys = keys;
-        port = Http.freePort();
-        Http.serve(port, this::take);
+        gate = new Gate(this::take);
+        port = gate.port;
+    }
+
+    /** Whether the visit was to this one. */
+    boolean visits(Visit visit) {
+        return visit.at(this);
+    }
+
+    /** Its door. */
+    Gate gate() {
+        return gate;
     }
 
     void hang(long ms) {
@@ -111,7 +128,7 @@
             Http.answer(out, 404, "text/plain", none);
             return true;
         }
-        var visit = new Visit(id, txn, request.second(), record.now());
+        var visit = new Visit(this, txn, request.second(), record.now());
         visits.add(visit);
         record.add(id, "gets " + txn + " " + request.second() + ", remaining " + request.header("X-Remaining-Ms"));
         Http.answer(out, 202, "text/plain", none);
