--- a/review/standin/Gate.java
+++ b/review/standin/Gate.java
@@ -4,65 +4,58 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.util.ArrayList;
-import java.util.List;
+import java.net.SocketTimeoutException;
 
-/**
- * A listener whose new connections can be made to come up late: while it is shut its queue is full, so that the kernel
- * drops the first packets of whoever comes, and lets them in when they are sent again, a second after the first.
- */
+/** A worker's listener. While all the connections that the worker accepts are taken, new ones are refused. */
 final class Gate {
 
+    private static final int BACKLOG = 64;
+    private static final int LOOK_MS = 20;
+
     final int port;
-    private final ServerSocket server = new ServerSocket();
-    private final List<Socket> fillers = new ArrayList<>();
-    private volatile boolean shut;
+    private volatile ServerSocket server;
 
     Gate(Http.Handler handler) throws IOException {
-        server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 1);
+        server = listening(0);
         port = server.getLocalPort();
         Http.daemon(() -> {
             while (true) {
                 try {
-                    if (shut) {
-                        Thread.sleep(5);
-                        continue;
-                    }
-                    server.setSoTimeout(20);
-                    var socket = server.accept();
+                    var here = server;
+                    here.setSoTimeout(LOOK_MS);
+                    var socket = here.accept();
                     Http.daemon(() -> Http.connection(socket, handler));
-                } catch (java.net.SocketTimeoutException e) {
-                    // Looks whether it is to be shut.
-                } catch (IOException | InterruptedException e) {
-                    return;
+                } catch (SocketTimeoutException e) {
+                    // Nobody came.
+                } catch (IOException e) {
+                    pause();
                 }
             }
         });
     }
 
-    /** Returns once nobody comes in any more; connections that are up stay. */
-    void shut() throws Exception {
-        shut = true;
-        Thread.sleep(40);
-        for (int i = 0; i < 8; i++) {
-            var filler = new Socket();
-            try {
-                filler.connect(new InetSocketAddress("127.0.0.1", port), 100);
-                fillers.add(filler);
-            } catch (IOException e) {
-                filler.close();
-                return;
-            }
+    private static void pause() {
+        try {
+            Thread.sleep(LOOK_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
-        throw new Site.CannotRun("the queue of a listener can't be filled here");
     }
 
-    void open() throws IOException {
-        shut = false;
-        for (var each : fillers) {
-            each.close();
-        }
-        fillers.clear();
+    private static ServerSocket listening(int port) throws IOException {
+        var made = new ServerSocket();
+        made.setReuseAddress(true);
+        made.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), BACKLOG);
+        return made;
+    }
+
+    /** All the connections that it accepts are taken: new ones are refused; those that are up stay. */
+    void fill() throws IOException {
+        server.close();
+    }
+
+    /** Some are free again. */
+    void free() throws IOException {
+        server = listening(port);
     }
 }
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -41,7 +41,6 @@
     private final List<Process> started = new ArrayList<>();
     private final String settings;
     private Discovery discovery;
-    private Process dispatcher;
     private int starts;
 
     Site(Path caseFolder, String settings) throws IOException {
@@ -119,12 +118,17 @@
 
     /** Starts the dispatcher with the batch front, and waits until clients may come. */
     void start() throws Exception {
-        dispatcher = start("n0", listen, discovery, "[batch]\nlisten = \"127.0.0.1:" + batch + "\"\nfolder = \""
+        start("n0", listen, discovery, "[batch]\nlisten = \"127.0.0.1:" + batch + "\"\nfolder = \""
                 + folder.resolve("batch") + "\"\nkeys_folder = \"" + folder.resolve("keys") + "\"\n");
     }
 
+    /** Starts the dispatcher as the platform does, without any of the operators' own features. */
+    void startPlain() throws Exception {
+        start("n0", listen, discovery, "");
+    }
+
     /** Starts a dispatcher with the deploy file's command, and waits until clients may come. */
-    Process start(String name, int at, Discovery table, String operatorFile) throws Exception {
+    private void start(String name, int at, Discovery table, String operatorFile) throws Exception {
         var run = Files.readAllLines(root.resolve("deploy/balancer.toml")).stream()
                 .filter(each -> each.startsWith("run = \"")).findFirst()
                 .orElseThrow(() -> new CannotRun("deploy/balancer.toml has no run"));
@@ -149,7 +153,7 @@
             try {
                 if (Http.call(at, "GET", "/_health", Map.of(), new byte[0], 1_000).second().equals("200")) {
                     record.add("test", name + " is ready (start " + starts + ")");
-                    return process;
+                    return;
                 }
             } catch (IOException | RuntimeException e) {
                 // Not yet.
@@ -159,24 +163,6 @@
         throw new CannotRun("the dispatcher is not ready: " + Files.readString(log.toPath()));
     }
 
-    Process dispatcher() {
-        return dispatcher;
-    }
-
-    String log() throws IOException {
-        return Files.readString(folder.resolve("dispatcher" + starts + ".log"));
-    }
-
-    /** SIGTERM, and waits for the orderly end. */
-    void terminate() throws Exception {
-        record.add("test", "SIGTERM to the dispatcher");
-        dispatcher.destroy();
-        if (!dispatcher.waitFor(30, TimeUnit.SECONDS)) {
-            throw new CannotRun("the dispatcher did not end within 30 s of SIGTERM");
-        }
-        record.add("test", "the dispatcher ended with " + dispatcher.exitValue());
-    }
-
     private void endAll() {
         started.forEach(Process::destroyForcibly);
     }
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -3,12 +3,12 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Predicate;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 /**
  * A worker as the protocol page has it: takes a job with 202, tells its start and its end by call-back, each tried
@@ -24,7 +24,8 @@
         final String path;
         final long at;
         volatile long ranAt = -1;
-        volatile boolean discarded;
+        /** When it had ended, or the word that it was given up had come; unknown as yet: never. */
+        volatile long overAt = Long.MAX_VALUE;
         private final Worker to;
 
         Visit(Worker to, String txn, String path, long at) {
@@ -73,8 +74,12 @@
     private final Keys keys;
     /** Called when half of a job's work is done and its effect is there. */
     volatile Runnable onEffect = () -> { };
-    /** Which jobs end as failed. */
-    volatile Predicate<String> fails = path -> false;
+    /** Told of each job as it comes, before it is answered. */
+    volatile Consumer<Worker> onVisit = worker -> { };
+    /** For so long a job that comes now waits in the queue behind others. */
+    volatile long queueMs;
+    /** Whether it keeps no connection that rests. */
+    volatile boolean keepsNone;
     private volatile long hangsUntil;
 
     Worker(String id, Record record, long workMs, int backTo, List<Visit> visits, Keys keys) throws IOException {
@@ -88,11 +93,6 @@
         port = gate.port;
     }
 
-    /** Whether the visit was to this one. */
-    boolean visits(Visit visit) {
-        return visit.at(this);
-    }
-
     /** Its door. */
     Gate gate() {
         return gate;
@@ -119,6 +119,9 @@
         if (request.first().equals("DELETE")) {
             var txn = request.second().substring(request.second().lastIndexOf('/') + 1);
             dropped.add(txn);
+            long now = record.now();
+            visits.stream().filter(each -> each.at(this) && each.txn.equals(txn))
+                    .forEach(each -> each.overAt = Math.min(each.overAt, now));
             record.add(id, "is told to drop " + txn);
             Http.answer(out, 200, "text/plain", none);
             return true;
@@ -131,26 +134,37 @@
         var visit = new Visit(this, txn, request.second(), record.now());
         visits.add(visit);
         record.add(id, "gets " + txn + " " + request.second() + ", remaining " + request.header("X-Remaining-Ms"));
+        onVisit.accept(this);
+        long queued = queueMs;
+        Http.daemon(() -> run(visit, queued));
+        if (keepsNone) {
+            out.write("HTTP/1.1 202 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            return false;
+        }
         Http.answer(out, 202, "text/plain", none);
-        Http.daemon(() -> run(visit));
         return true;
     }
 
-    private void run(Visit visit) {
+    private void run(Visit visit, long queued) {
         try {
-            tell(visit, "\"state\":\"started\"");
-            var key = visit.path.substring(visit.path.lastIndexOf('/') + 1);
-            if (fails.test(visit.path)) {
-                Thread.sleep(workMs);
-                tell(visit, "\"state\":\"failed\"");
+            for (long until = record.now() + queued; record.now() < until && !dropped.contains(visit.txn);) {
+                Thread.sleep(10);
+            }
+            if (dropped.contains(visit.txn)) {
+                visit.overAt = record.now();
+                record.add(id, "drops " + visit.txn + ", which has not begun");
                 return;
             }
+            tell(visit, "\"state\":\"started\"");
+            var key = visit.path.substring(visit.path.lastIndexOf('/') + 1);
             if (dropped.contains(visit.txn)) {
+                visit.overAt = record.now();
                 record.add(id, "drops " + visit.txn + ", which has not run");
                 return;
             }
             if (keys != null && keys.repeats(key, record.now())) {
-                visit.discarded = true;
                 record.add(id, "discards the repeat of " + key + " (" + visit.txn + ")");
             } else {
                 Thread.sleep(workMs / 2);
@@ -160,6 +174,7 @@
                 untilItGoesOn();
                 Thread.sleep(workMs / 2);
             }
+            visit.overAt = record.now();
             tell(visit, "\"state\":\"done\",\"result\":\"made-of-" + key + "-by-" + visit.txn + "\"");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -185,6 +200,6 @@
     }
 
     static List<Visit> visits() {
-        return java.util.Collections.synchronizedList(new ArrayList<>());
+        return new CopyOnWriteArrayList<>();
     }
 }
