--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -138,13 +138,16 @@
                 + "\",\"discovery\":\"127.0.0.1:" + table.port + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":"
                 + "{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":" + table.list()
                 + ",\"settings\":" + settings + "}");
-        var operator = folder.resolve("operator-" + name + ".toml");
-        Files.writeString(operator, operatorFile);
         var temporary = Files.createDirectories(folder.resolve("tmp" + ++starts));
         var builder = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile());
         builder.environment().putAll(Map.of("BALANCER_NAME", name, "BALANCER_LISTEN", "127.0.0.1:" + at,
                 "BALANCER_DISCOVERY", "127.0.0.1:" + table.port, "BALANCER_CONFIG", config.toString(),
-                "TMPDIR", temporary.toString(), "RYEMAST_OPERATOR", operator.toString()));
+                "TMPDIR", temporary.toString()));
+        if (!operatorFile.isEmpty()) {
+            var operator = folder.resolve("operator-" + name + ".toml");
+            Files.writeString(operator, operatorFile);
+            builder.environment().put("RYEMAST_OPERATOR", operator.toString());
+        }
         var log = new File(folder.toFile(), "dispatcher" + starts + ".log");
         var process = builder.redirectErrorStream(true).redirectOutput(log).start();
         started.add(process);
