--- a/app/src/test/java/ryemast/it/Platform.java
+++ b/app/src/test/java/ryemast/it/Platform.java
@@ -5,6 +5,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.Socket;
 import java.net.SocketException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -275,6 +276,24 @@
         return Wire.to(packaged.address());
     }
 
+    /** A client's connection for those who write and read bytes by themselves. */
+    Socket socket() throws IOException {
+        var address = packaged.address();
+        return new Socket(address.getAddress(), address.getPort());
+    }
+
+    /** From now on the program's threads share one core, as on the operators' machines. */
+    void limitToOneCore() throws IOException, InterruptedException {
+        var allowed = Files.readAllLines(Path.of("/proc/self/status")).stream()
+                .filter(line -> line.startsWith("Cpus_allowed_list:")).findFirst().orElseThrow();
+        var last = allowed.replaceAll(".*[^0-9]", "");
+        var taskset = new ProcessBuilder("taskset", "-a", "-c", "-p", last, Long.toString(program.pid()))
+                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        if (taskset.waitFor() != 0) {
+            throw new IOException("taskset ended with " + taskset.exitValue());
+        }
+    }
+
     String health() throws IOException {
         try (var wire = client().send("GET /_health HTTP/1.1\r\n\r\n")) {
             return wire.read().status();
