Remember the names of jobs that went out apart from those that did not

Callers saw that a job ran twice: its client had left, and it came again under its name after some thousands of other names.

Taken off the list of known failures.

--- a/app/src/test/java/ryemast/it/DepartedClientIT.java
+++ b/app/src/test/java/ryemast/it/DepartedClientIT.java
@@ -108,7 +108,6 @@
     }
 
     /** Guards against a second run of a job whose name was pushed out of memory by ever new names. */
-    @Tag("known-red")
     @Test
     void theNameOfAJobThatRanIsKnownAfterThousandsOfOthers() throws Exception {
         try (var platform = new Platform("1000", 1024, "Terminating Ready")) {
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntPredicate;
 import java.util.logging.Level;
@@ -50,7 +48,6 @@
     private final int maxOpen;
     private final int maxAttempts;
     private final long grace;
-    private final int names;
     private Region region;
     private ServiceTable serviceTable;
     /** Null, as mostly: nobody looks on. */
@@ -59,8 +56,7 @@
     private Members vitals;
     private final Map<String, Transaction> byTxn = new HashMap<>();
     private final Map<Long, Transaction> byNumber = new HashMap<>();
-    /** Names of the transactions taken last, the oldest first. */
-    private final Set<String> lastNames = new LinkedHashSet<>();
+    private final UsedNames usedNames;
     /** Every worker that was ever listed, and what the list says of it now. */
     private final Map<String, WorkerState> listedWorkers = new HashMap<>();
     private List<Event> gathered = new ArrayList<>();
@@ -87,7 +83,7 @@
         this.maxOpen = maxOpen;
         this.maxAttempts = maxAttempts;
         this.grace = grace;
-        this.names = names;
+        usedNames = new UsedNames(names);
         recalls = new Recalls(loop, (task, outcome) -> conclude(task, outcome, null));
         loop.settleWith(this::settle);
     }
@@ -133,7 +129,7 @@
      * turn away a name that they have had before, so that one used lately is not free either.
      */
     public boolean isFree(String txn) {
-        return !isKept(txn) && !lastNames.contains(txn);
+        return !isKept(txn) && !usedNames.contains(txn);
     }
 
     /** Whether the transaction of that name is still kept: it is not answered, or a routed task is out. */
@@ -161,10 +157,7 @@
         var submission = transaction.submission;
         open++;
         byTxn.put(submission.txn(), transaction);
-        lastNames.add(submission.txn());
-        if (lastNames.size() > names) {
-            lastNames.remove(lastNames.iterator().next());
-        }
+        usedNames.taken(submission.txn());
         byNumber.put(transaction.number, transaction);
         if (observer != null) {
             observer.taken(transaction.number, submission, loop.now());
@@ -449,6 +442,7 @@
         if (moot) {
             conclude(task, Outcome.NOT_SENT, null);
         } else {
+            usedNames.sent(transaction.submission.txn());
             region.start(task);
         }
     }
