Bound what all connections' requests keep in memory together

Operators saw a process end with exit status 3 (out of heap) while hundreds of clients wrote slowly, stopped half way through a large request, or sent heads of very many short fields. Cause: each connection's requests were bounded, those of all connections were not. A body of 64 KB held up to 128 KB while it grew; a head of 16 KB in fields of four bytes held some 400 KB once it was read, also while it waited behind another request; a line's buffer was kept for the connection's life; a request that was answered kept its body until its last attempt had ended.

- Of a client's headers only those are kept that are read.
- A body grows in one array, a long line's buffer is let go, and so is all that is held of a request that is turned away.
An answered request lets go of its body.
- Letters of header lines are looked up in a table.

--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -323,6 +323,7 @@
 
     private void finish(Transaction transaction) {
         transaction.answered = true;
+        transaction.submission = transaction.submission.withoutBody();
         transaction.backstop.run();
         open--;
         forgetIfOver(transaction);
--- a/core/src/main/java/ryemast/core/Submission.java
+++ b/core/src/main/java/ryemast/core/Submission.java
@@ -10,6 +10,13 @@
 public record Submission(String txn, int jobClass, int tenant, double slots, double memory, long costHint,
         long deadline, String target, byte[] body) {
 
+    private static final byte[] EMPTY = new byte[0];
+
+    /** The same without its body, where it is not sent any more. */
+    Submission withoutBody() {
+        return new Submission(txn, jobClass, tenant, slots, memory, costHint, deadline, target, EMPTY);
+    }
+
     /** The same with another deadline. */
     Submission withDeadline(long other) {
         return new Submission(txn, jobClass, tenant, slots, memory, costHint, other, target, body);
--- a/core/src/main/java/ryemast/core/Transaction.java
+++ b/core/src/main/java/ryemast/core/Transaction.java
@@ -7,7 +7,8 @@
 public final class Transaction {
 
     final long number;
-    final Submission submission;
+    /** Without its body once it is answered. */
+    Submission submission;
     final Terminal terminal;
     final List<RoutedTask> tasks = new ArrayList<>(1);
     boolean answered;
--- a/net/src/main/java/ryemast/net/client/ClientConnection.java
+++ b/net/src/main/java/ryemast/net/client/ClientConnection.java
@@ -55,6 +55,8 @@
     private Phase phase = Phase.OPEN;
     private Transaction transaction;
     private boolean busy;
+    /** The request that is served; null for none. */
+    private Object served;
     private boolean asksToClose;
     /** Answers that have not left yet, and when that was last none or one did. */
     private int unwritten;
@@ -100,6 +102,7 @@
         }
         handedOver++;
         if (phase == Phase.TURNED_AWAY || phase == Phase.GONE) {
+            server.memory.release(message);
             return;
         }
         // What crosses the mark of an end lets the connection stay; it is taken then.
@@ -149,6 +152,7 @@
     private void begin(Object message, long at) {
         busy = true;
         silent = false;
+        served = message;
         server.works(this);
         try {
             take(message, at);
@@ -258,6 +262,7 @@
     private void answer(HttpMessage message) {
         busy = false;
         transaction = null;
+        releaseServed();
         // A request that came in behind this one has been taken: it is answered before the end.
         boolean last = (server.isDraining() || asksToClose) && waiting.isEmpty()
                 && !isAsked(server.tuning.longestRequest());
@@ -272,6 +277,11 @@
         }
     }
 
+    private void releaseServed() {
+        server.memory.release(served);
+        served = null;
+    }
+
     /** To the next request, or to a rest. */
     private void goOn() {
         if (waiting.isEmpty()) {
@@ -307,6 +317,7 @@
         var answer = plain(status, why);
         answer.head().with("Connection", "close");
         phase = Phase.TURNED_AWAY;
+        releaseServed();
         waiting.clear();
         HttpCodec.ignoreRest(session);
         write(answer);
@@ -315,6 +326,16 @@
         server.loop.at(server.loop.now() + server.tuning.linger(), session::closeNow);
     }
 
+    /** For how long a request has been under way that is not whole, in microseconds. */
+    long insideFor() {
+        return phase == Phase.OPEN && !busy ? HttpCodec.insideFor(session) : 0;
+    }
+
+    /** Refuses the request that is not whole, as others need the memory. */
+    void shed() {
+        turnAway(503, "too much is being received; trying again is harmless");
+    }
+
     /** Guards the sockets against clients that do not read what is written to them. */
     void checkWriting() {
         if (unwritten > 0 && server.loop.now() - wroteAt > LONGEST_WRITE) {
@@ -400,6 +421,7 @@
         server.wrote(-unwritten);
         unwritten = 0;
         phase = Phase.GONE;
+        releaseServed();
         waiting.clear();
         if (transaction != null) {
             server.exchange.left(transaction);
--- a/net/src/main/java/ryemast/net/client/ClientServer.java
+++ b/net/src/main/java/ryemast/net/client/ClientServer.java
@@ -6,6 +6,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -25,6 +26,7 @@
 import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
 import ryemast.net.http.HttpCodec;
+import ryemast.net.http.RequestMemory;
 
 /** The address that clients and the workers' call-backs come to, and the connections made to it. */
 public final class ClientServer {
@@ -45,12 +47,15 @@
      * a crowd that never ends its requests must not keep call-backs out for longer.
      */
     private static final long UNDER_WAY = 500_000;
+    /** So many unfinished requests are refused at once where memory is short. */
+    private static final int SHED_AT_ONCE = 8;
 
     final Loop loop;
     final Exchange exchange;
     final JobReader jobs;
     final ClientTuning tuning;
-    final PipelinedRequests.Budget pipelined = new PipelinedRequests.Budget();
+    final RequestMemory memory = RequestMemory.ofHeap();
+    final PipelinedRequests.Budget pipelined = new PipelinedRequests.Budget(memory);
     private final SocketAcceptor acceptor;
     private final int most;
     /** Those that were accepted and whose end was not told yet; changed by the threads that see them. */
@@ -80,8 +85,9 @@
         acceptor.setCloseOnDeactivation(false);
         acceptor.setBacklog(tuning.backlog());
         Transport.setUpWithoutOptions(acceptor.getSessionConfig(), acceptor.getFilterChain(),
-                HttpCodec.requests());
+                HttpCodec.requests(memory, JobReader.HEADERS));
         acceptor.setHandler(new Handler());
+        memory.whenFull(() -> loop.post(this::shedUnfinished));
         loop.at(loop.now() + SWEEP, this::sweep);
     }
 
@@ -201,6 +207,14 @@
         }
     }
 
+    /** Those go first that have been in the middle of a request for longest, as they may have stopped there. */
+    private void shedUnfinished() {
+        open.stream().filter(each -> each.insideFor() > UNDER_WAY)
+                .sorted(Comparator.comparingLong(ClientConnection::insideFor).reversed())
+                .limit(SHED_AT_ONCE).toList().forEach(ClientConnection::shed);
+        memory.madeRoom();
+    }
+
     /** Guards the limit on sockets: beyond it, connections wait in the kernel's queue until one ends. */
     private final class Acceptor extends SocketAcceptor {
         private final IoProcessor<NioSession> processor;
--- a/net/src/main/java/ryemast/net/client/JobReader.java
+++ b/net/src/main/java/ryemast/net/client/JobReader.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import ryemast.core.Clock;
 import ryemast.core.Submission;
 import ryemast.net.http.HttpException;
@@ -11,6 +12,9 @@
 /** Reads a client's job from its headers; a message names the faulty one. */
 public final class JobReader {
 
+    /** The headers that a job is read from, in lower case. */
+    static final Set<String> HEADERS =
+            Set.of("x-txn", "x-lane", "x-org", "x-remaining-ms", "x-estimate", "x-labels");
     /** As names are remembered, a longer one would cost memory. */
     private static final int LONGEST_NAME = 128;
     private static final long LONGEST_MS = 24L * 3600 * 1000;
--- a/net/src/main/java/ryemast/net/client/PipelinedRequests.java
+++ b/net/src/main/java/ryemast/net/client/PipelinedRequests.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import ryemast.net.http.HttpCodec;
 import ryemast.net.http.HttpMessage;
+import ryemast.net.http.RequestMemory;
 
 /**
  * What has come on one connection behind the request that is being served, in order.
@@ -16,13 +18,11 @@
 
     /** More than a thousand small requests. */
     private static final int MOST_BYTES = 1024 * 1024;
-    /** What a request costs in memory beside its texts. */
-    private static final int EACH = 512;
     /** So many answers of a hundred bytes are more than a client's buffers hold: it does not read them. */
     private static final int MOST_COUNTED = 16_384;
 
     /** In place of a request that was not kept. */
-    static final Object NOT_KEPT = new Object();
+    static final Object NOT_KEPT = HttpCodec.NOT_KEPT;
 
     /** What came, and when. */
     record Arrival(Object message, long at) {
@@ -33,8 +33,14 @@
         /** A tenth of the memory that the program may have. */
         static final int ALL = 8 * 1024 * 1024;
 
+        private final RequestMemory memory;
         private long left = ALL;
 
+        /** {@code memory}: where requests that are not kept are released. */
+        Budget(RequestMemory memory) {
+            this.memory = memory;
+        }
+
         private boolean take(int bytes) {
             if (bytes > left) {
                 return false;
@@ -71,12 +77,15 @@
     /** False if there are too many. */
     boolean add(Object message, long at) {
         lastAt = at;
-        if (!(message instanceof HttpMessage request)) {
+        if (message == NOT_KEPT) {
+            counted++;
+        } else if (!(message instanceof HttpMessage request)) {
             fault = new Arrival(message, at);
-        } else if (counted == 0 && bytes + size(request) <= MOST_BYTES && budget.take(size(request))) {
-            bytes += size(request);
+        } else if (counted == 0 && bytes + RequestMemory.size(request) <= MOST_BYTES && budget.take(RequestMemory.size(request))) {
+            bytes += RequestMemory.size(request);
             kept.add(new Arrival(request, at));
         } else {
+            budget.memory.release(request);
             counted++;
         }
         return counted <= MOST_COUNTED;
@@ -86,7 +95,7 @@
     Arrival next() {
         if (!kept.isEmpty()) {
             var next = kept.poll();
-            int size = size((HttpMessage) next.message);
+            int size = RequestMemory.size((HttpMessage) next.message);
             bytes -= size;
             budget.give(size);
             return next;
@@ -101,18 +110,11 @@
     }
 
     void clear() {
+        kept.forEach(each -> budget.memory.release(each.message));
         kept.clear();
         budget.give(bytes);
         bytes = 0;
         counted = 0;
         fault = null;
     }
-
-    private static int size(HttpMessage request) {
-        int size = EACH + request.body().length + request.head().second().length();
-        for (var header : request.head().headers().entrySet()) {
-            size += header.getKey().length() + header.getValue().length();
-        }
-        return size;
-    }
 }
--- a/net/src/main/java/ryemast/net/http/HttpCodec.java
+++ b/net/src/main/java/ryemast/net/http/HttpCodec.java
@@ -2,6 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
@@ -32,6 +34,15 @@
     public static final class Mark {
     }
 
+    /** Comes in place of a request for which there was no memory: it was read and is not known. */
+    public static final Object NOT_KEPT = new Object();
+
+    /** What an unfinished message may hold that is not counted against the memory, in bytes. */
+    private static final int FREE_PART = 2048;
+    /** The headers that tell how a message is read, and whether its connection ends. */
+    private static final Set<String> FRAMING =
+            Set.of("connection", "content-length", "transfer-encoding", "expect");
+
     /** The most that the platform lets a body hold. */
     private static final int MAX_BODY = 64 * 1024;
 
@@ -46,10 +57,19 @@
 
     private final Form form;
     private final long maxBody;
+    private final RequestMemory memory;
+    /** The names of the headers that are kept; null for all. */
+    private final Set<String> kept;
 
     private HttpCodec(Form form, long maxBody) {
+        this(form, maxBody, RequestMemory.UNBOUNDED, null);
+    }
+
+    private HttpCodec(Form form, long maxBody, RequestMemory memory, Set<String> kept) {
         this.form = form;
         this.maxBody = maxBody;
+        this.memory = memory;
+        this.kept = kept;
     }
 
     public static HttpCodec requests() {
@@ -61,6 +81,16 @@
         return new HttpCodec(Form.REQUESTS, maxBody);
     }
 
+    /**
+     * Requests of many who may mean ill. Each message that is handed over is counted against the memory, and
+     * to be released there; of its headers only these are kept, by their names in lower case.
+     */
+    public static HttpCodec requests(RequestMemory memory, Set<String> headers) {
+        var kept = new HashSet<>(headers);
+        kept.addAll(FRAMING);
+        return new HttpCodec(Form.REQUESTS, MAX_BODY, memory, kept);
+    }
+
     public static HttpCodec responses() {
         return new HttpCodec(Form.RESPONSES, MAX_BODY);
     }
@@ -90,7 +120,7 @@
 
     /** What still comes on this connection is not understood any more; for one that something came on. */
     public static void ignoreRest(IoSession session) {
-        ((Reading) session.getAttribute(STATE)).failed = true;
+        ((Reading) session.getAttribute(STATE)).fail();
         session.resumeRead();
     }
 
@@ -106,13 +136,13 @@
 
     /** What one connection has sent so far. */
     private final class Reading implements HttpParser.Sink {
-        private final HttpParser parser = new HttpParser(form == Form.REQUESTS, maxBody, this);
+        private final HttpParser parser = new HttpParser(form == Form.REQUESTS, maxBody, kept, this);
         private final IoSession session;
         private ProtocolDecoderOutput out;
         private HttpHead head;
-        /** The body so far: its first part alone, as most have but one, or all of several. */
-        private byte[] body;
-        private ByteArrayOutputStream parts;
+        private final BodyBuffer body = new BodyBuffer();
+        /** What is counted against the memory for the message that is not whole yet, in bytes. */
+        private long charged;
         private volatile boolean failed;
         private long dropped;
         private boolean toldNotRead;
@@ -128,8 +158,8 @@
         @Override
         public void head(HttpHead next) {
             head = next;
-            body = null;
-            parts = null;
+            var length = next.header("content-length");
+            body.begin(length == null ? maxBody : Math.min(maxBody, Long.parseLong(length)));
             if (form == Form.STREAM) {
                 out.write(next);
             } else if (form == Form.REQUESTS && next.lists("expect", "100-continue")) {
@@ -138,18 +168,34 @@
         }
 
         @Override
-        public void body(byte[] part) {
+        public void body(byte[] part) throws HttpException {
             if (form == Form.STREAM) {
                 out.write(part);
-            } else if (body == null) {
-                body = part;
             } else {
-                if (parts == null) {
-                    parts = new ByteArrayOutputStream(2 * (body.length + part.length));
-                    parts.writeBytes(body);
-                }
-                parts.writeBytes(part);
+                body.add(part);
+                charge();
+            }
+        }
+
+        /** Counts what is held now against the memory. */
+        void charge() throws HttpException {
+            long more = Math.max(0, body.capacity() + parser.held() - FREE_PART) - charged;
+            if (more > 0 && !memory.reservePart(more)) {
+                throw new HttpException(503, "too much is being received; trying again is harmless");
+            }
+            if (more < 0) {
+                memory.releasePart(-more);
             }
+            charged += more;
+        }
+
+        /** Nothing that comes is understood any more, and nothing of it is held. */
+        synchronized void fail() {
+            failed = true;
+            body.clear();
+            parser.clear();
+            memory.releasePart(charged);
+            charged = 0;
         }
 
         @Override
@@ -161,11 +207,12 @@
             if (form == Form.STREAM) {
                 out.write(interim ? HttpMessage.EMPTY : END);
             } else if (!interim) {
-                out.write(new HttpMessage(head, parts != null ? parts.toByteArray()
-                        : body == null ? HttpMessage.EMPTY : body));
+                var message = new HttpMessage(head, body.take());
+                memory.releasePart(charged);
+                charged = 0;
+                out.write(memory.reserve(message) ? message : NOT_KEPT);
             }
-            body = null;
-            parts = null;
+            body.clear();
         }
     }
 
@@ -173,22 +220,37 @@
         @Override
         public void decode(IoSession session, IoBuffer in, ProtocolDecoderOutput out) {
             var reading = reading(session, out);
-            if (reading.failed) {
-                drop(in, reading, out);
-                return;
+            synchronized (reading) {
+                if (reading.failed) {
+                    drop(in, reading, out);
+                } else {
+                    feed(in, reading, out);
+                }
             }
+        }
+
+        private void feed(IoBuffer in, Reading reading, ProtocolDecoderOutput out) {
             try {
                 reading.parser.feed(in.buf());
+                reading.charge();
                 if (reading.insideSince == 0 && reading.parser.isInside()) {
                     reading.insideSince = System.nanoTime();
                 }
             } catch (HttpException e) {
-                reading.failed = true;
+                reading.fail();
                 in.position(in.limit());
                 out.write(e);
             }
         }
 
+        /** The connection is gone, and with it what was read of it in part. */
+        @Override
+        public void dispose(IoSession session) {
+            if (session.getAttribute(STATE) instanceof HttpCodec.Reading reading) {
+                reading.fail();
+            }
+        }
+
         /** Guards the processor's time against a body of any length: beyond a bound no more is read. */
         private void drop(IoBuffer in, Reading reading, ProtocolDecoderOutput out) {
             reading.dropped += in.remaining();
@@ -209,7 +271,7 @@
                 try {
                     reading.parser.endOfInput();
                 } catch (HttpException e) {
-                    reading.failed = true;
+                    reading.fail();
                 }
             }
         }
--- a/net/src/main/java/ryemast/net/http/HttpParser.java
+++ b/net/src/main/java/ryemast/net/http/HttpParser.java
@@ -5,19 +5,28 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
+import java.util.Set;
+import java.util.regex.Pattern;
 
 /** Takes HTTP/1.1 messages apart, in whatever pieces they come; knows nothing of where they come from. */
 public final class HttpParser {
 
     /** The longest start line, header lines together, or trailer; guards the memory against endless ones. */
     public static final int MAX_HEAD = 16 * 1024;
-    private static final int MAX_CHUNK_DIGITS = 7;
+    private static final Pattern CHUNK_DIGITS = Pattern.compile("[0-9a-fA-F]{1,7}");
+    private static final char DELETE = 127;
+    private static final boolean[] TOKEN = tokenLetters();
+    /** A buffer that has grown beyond this is not kept for the next line, in bytes. */
+    private static final int USUAL_LINE = 128;
+    /** What a header costs in memory beside its texts, in bytes. */
+    private static final int EACH_HEADER = 128;
 
     /** Receives the parts of each message in order. */
     public interface Sink {
         void head(HttpHead head);
 
-        void body(byte[] part);
+        /** An exception ends the connection, as one of the parser's own does. */
+        void body(byte[] part) throws HttpException;
 
         void end();
     }
@@ -27,24 +36,51 @@
     private final boolean requests;
     private final long maxBody;
     private final Sink sink;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+    /** The names of the headers that are kept, in lower case; null for all. */
+    private final Set<String> kept;
+    private ByteArrayOutputStream line = new ByteArrayOutputStream(USUAL_LINE);
     private State state = State.START;
     private String[] startLine;
     private LinkedHashMap<String, String> headers;
     private long left;
     private long bodyRead;
     private int headRead;
+    private int headHeld;
+    private long lines;
 
     /**
      * @param requests  whether requests are read; else responses
      * @param maxBody   the most bytes a body may hold
      */
     public HttpParser(boolean requests, long maxBody, Sink sink) {
+        this(requests, maxBody, null, sink);
+    }
+
+    /** {@code kept}: the names, in lower case, of the headers that are wanted; others are only checked. */
+    public HttpParser(boolean requests, long maxBody, Set<String> kept, Sink sink) {
         this.requests = requests;
         this.maxBody = maxBody;
+        this.kept = kept;
         this.sink = sink;
     }
 
+    /** What is held of a head that is not handed over yet, in bytes. */
+    int held() {
+        return headHeld + line.size();
+    }
+
+    /** How many lines have come: what a message costs in time, beside its length. */
+    long lines() {
+        return lines;
+    }
+
+    /** Lets go of what is held, where nothing more is to be fed. */
+    void clear() {
+        line = new ByteArrayOutputStream(0);
+        headers = new LinkedHashMap<>();
+        headHeld = 0;
+    }
+
     /** Consumes all bytes; after an exception the connection holds nothing that could be understood. */
     public void feed(ByteBuffer in) throws HttpException {
         while (in.hasRemaining()) {
@@ -97,8 +133,13 @@
         while (in.hasRemaining()) {
             byte next = in.get();
             if (next == '\n') {
+                lines++;
                 var text = line.toString(StandardCharsets.ISO_8859_1);
-                line.reset();
+                if (text.length() > USUAL_LINE) {
+                    line = new ByteArrayOutputStream(USUAL_LINE);
+                } else {
+                    line.reset();
+                }
                 take(text.endsWith("\r") ? text.substring(0, text.length() - 1) : text);
                 return;
             }
@@ -115,6 +156,7 @@
                 // An empty line ahead of a message is passed over, as RFC 9112 asks.
                 if (!text.isEmpty()) {
                     startLine = startLine(text);
+                    headHeld = text.length();
                     headers = new LinkedHashMap<>();
                     state = State.HEADERS;
                 }
@@ -164,13 +206,43 @@
     }
 
     private static boolean isTarget(String text) {
-        return text.startsWith("/") && text.chars().allMatch(c -> c > ' ' && c < 127)
-                || text.equals("*");
+        if (!text.startsWith("/")) {
+            return text.equals("*");
+        }
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) <= ' ' || text.charAt(i) >= DELETE) {
+                return false;
+            }
+        }
+        return true;
     }
 
+    /** As RFC 9110 has it; the letters of hundreds of lines are looked at, so that a table answers. */
     private static boolean isToken(String text) {
-        return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c < 127
-                && "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0);
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) > DELETE || !TOKEN[text.charAt(i)]) {
+                return false;
+            }
+        }
+        return !text.isEmpty();
+    }
+
+    private static boolean[] tokenLetters() {
+        var token = new boolean[DELETE + 1];
+        for (char letter = ' ' + 1; letter < DELETE; letter++) {
+            token[letter] = "\"(),/:;<=>?@[\\]{}".indexOf(letter) < 0;
+        }
+        return token;
+    }
+
+    private static boolean hasControlLetter(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            char letter = value.charAt(i);
+            if (letter < ' ' && letter != '\t' || letter == DELETE) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private void header(String text) throws HttpException {
@@ -180,9 +252,13 @@
         }
         var name = text.substring(0, colon).toLowerCase(Locale.ROOT);
         var value = trimmed(text, colon + 1);
-        if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
+        if (hasControlLetter(value)) {
             throw new HttpException(400, "a control character in header " + name);
         }
+        if (kept != null && !kept.contains(name)) {
+            return;
+        }
+        headHeld += EACH_HEADER + text.length();
         var before = headers.putIfAbsent(name, value);
         if (before != null && name.equals("content-length") && !before.equals(value)) {
             throw new HttpException(400, "two values of header content-length");
@@ -248,7 +324,7 @@
     private static long chunkSize(String text) throws HttpException {
         int end = text.indexOf(';');
         var digits = (end < 0 ? text : text.substring(0, end)).strip();
-        if (!digits.matches("[0-9a-fA-F]{1," + MAX_CHUNK_DIGITS + "}")) {
+        if (!CHUNK_DIGITS.matcher(digits).matches()) {
             throw new HttpException(400, "a malformed chunk size");
         }
         return Long.parseLong(digits, 16);
@@ -257,6 +333,7 @@
     private void finish() {
         state = State.START;
         headRead = 0;
+        headHeld = 0;
         sink.end();
     }
 }
