Let attempts wait while it is not known if their client is there, and call-backs go first

Callers saw jobs refused, or answered 0.2 to 0.9 s late, beside hundreds of clients in the middle of requests: connections were read in the order of their readiness, so that jobs and call-backs waited for the crowd's heads and bodies.

- ReadTurns ranks: who has sent whole messages comes before newcomers, and these before those in the middle of a message.
- Terminal.presence: a job, and each attempt, waits while its connection is paused, was paused within 60 ms, or has not been read to its end; it is refused after 0.5 s.
- Pauses end on the thread that reads.
MINA changes what a connection is watched for without a lock: a resume from the loop was lost now and then, and the connection was silent for good (seen: a 408 in ConnectionEndTest, an attempt 491 ms after a close).
- Connections that have said nothing are watched anew together, not one selection each.
- The next request of a connection waits while 128 KB of answers are unread.
- Header lines that are not kept cost no copies.

--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -186,7 +186,17 @@
      * worker may have begun to drain. Asked of the clock itself, as the turn's reading may be old by now.
      */
     public boolean mayBegin(RoutedTask task) {
-        return !task.ended() && !task.transaction.answered && task.transaction.terminal.isPresent()
+        return mayBeginOnce(task, Terminal.Presence.PRESENT);
+    }
+
+    /** Whether an attempt that may not begin yet may do so soon, as it is not known if its client is there. */
+    public boolean mayBeginLater(RoutedTask task) {
+        return mayBeginOnce(task, Terminal.Presence.UNKNOWN);
+    }
+
+    private boolean mayBeginOnce(RoutedTask task, Terminal.Presence client) {
+        return !task.ended() && !task.transaction.answered
+                && task.transaction.terminal.presence() == client
                 && loop.clock() < Math.min(task.until, task.beginBy)
                 && listedWorkers.get(task.worker) == WorkerState.READY;
     }
--- a/core/src/main/java/ryemast/core/Terminal.java
+++ b/core/src/main/java/ryemast/core/Terminal.java
@@ -16,8 +16,16 @@
 
     void failed();
 
-    /** Whether the client is known to be there still; if not, no further attempt is made for it. */
-    default boolean isPresent() {
-        return true;
+    /** What is known of the client's being there. */
+    enum Presence {
+        PRESENT,
+        /** It may have left, and that is soon known: an attempt waits for it. */
+        UNKNOWN,
+        GONE
+    }
+
+    /** Whether the client is there still; no attempt begins for one that may have left. */
+    default Presence presence() {
+        return Presence.PRESENT;
     }
 }
--- a/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
@@ -2,25 +2,34 @@
 
 import java.nio.channels.SelectionKey;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.apache.mina.core.session.IoSession;
+import ryemast.net.http.HttpCodec;
 
 /**
- * In which order ready connections are read: those that the program opened come first, as jobs in hand wait
- * for them; those that were accepted take turns, the longest ready first, for a short while in each round. So
- * whatever a crowd sends, no round is long. For the one thread that reads.
+ * In which order ready connections are read, so that whatever a crowd sends, no round is long and nobody waits
+ * for the crowd's largest messages. Those that the program opened come first, as jobs in hand wait for them.
+ * Those that were accepted take turns for a short while in each round: who has sent whole messages before
+ * those who have sent nothing yet, and these before those in the middle of a message; within each rank the one
+ * that has been ready for longest. For the one thread that reads.
  */
 final class ReadTurns {
 
     /** After so long the rest of the accepted ones wait for the next round, in nanoseconds. */
     private static final long LONGEST_ROUND = TimeUnit.MILLISECONDS.toNanos(3);
 
+    /** In the order in which they are read. */
+    private enum Rank { OPENED, KNOWN, NEW, INSIDE }
+
     private final LongSupplier nanoClock;
-    /** Accepted connections that are ready, in the order of their turns. */
+    /** Accepted connections that are ready, the longest ready first. */
     private final Set<SelectionKey> waiting = new LinkedHashSet<>();
 
     ReadTurns(LongSupplier nanoClock) {
@@ -34,20 +43,37 @@
 
     /** The connections of one round; each that is taken is to be removed, as MINA does. */
     Iterator<NioSession> round(Set<SelectionKey> selected) {
-        var first = new ArrayDeque<SelectionKey>();
+        var ranks = new ArrayList<List<SelectionKey>>();
+        for (int i = 0; i < Rank.values().length; i++) {
+            ranks.add(new ArrayList<>());
+        }
         waiting.retainAll(selected);
         for (var key : selected) {
-            if (isAccepted(key)) {
-                waiting.add(key);
+            if (rank(session(key)) == Rank.OPENED) {
+                ranks.get(0).add(key);
             } else {
-                first.add(key);
+                waiting.add(key);
             }
         }
-        return new Round(first, new ArrayDeque<>(waiting), selected);
+        waiting.forEach(key -> ranks.get(rank(session(key)).ordinal()).add(key));
+        var first = new ArrayDeque<>(ranks.get(0));
+        var others = new ArrayDeque<SelectionKey>();
+        ranks.subList(1, ranks.size()).forEach(others::addAll);
+        return new Round(first, others, selected);
     }
 
-    private static boolean isAccepted(SelectionKey key) {
-        return ((NioSession) key.attachment()).getService() instanceof SocketAcceptor;
+    private static NioSession session(SelectionKey key) {
+        return (NioSession) key.attachment();
+    }
+
+    private static Rank rank(IoSession session) {
+        if (!(session.getService() instanceof SocketAcceptor)) {
+            return Rank.OPENED;
+        }
+        if (HttpCodec.insideFor(session) > 0) {
+            return Rank.INSIDE;
+        }
+        return HttpCodec.whole(session) > 0 ? Rank.KNOWN : Rank.NEW;
     }
 
     private final class Round implements Iterator<NioSession> {
@@ -79,7 +105,7 @@
             } else {
                 current = first.remove();
             }
-            return (NioSession) current.attachment();
+            return session(current);
         }
 
         @Override
--- a/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
@@ -4,11 +4,16 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -41,6 +46,11 @@
 
     private static final AttributeKey UNREAD_SINCE = new AttributeKey(SocketProcessor.class, "unread");
 
+    private static final AttributeKey PROCESSOR = new AttributeKey(SocketProcessor.class, "processor");
+
+    /** Connections that are left unread, and until when; for the one thread that reads. */
+    private final Map<NioSession, Long> paused = new HashMap<>();
+    private final Queue<NioSession> toResume = new ConcurrentLinkedQueue<>();
     /** Connections of which more may be there than was read; for the one thread that reads. */
     private final Set<NioSession> notReadToTheEnd = new HashSet<>();
     /** Connections that have said nothing yet; for the one thread that reads. */
@@ -77,9 +87,46 @@
         return since == null ? 0 : Math.max(1, System.nanoTime() - since);
     }
 
+    /** Leaves the connection unread for so many nanoseconds; to be called by the thread that reads it. */
+    public static void pause(IoSession session, long nanos) {
+        if (session.getAttribute(PROCESSOR) instanceof SocketProcessor processor) {
+            session.suspendRead();
+            processor.paused.put((NioSession) session, System.nanoTime() + nanos);
+        }
+    }
+
+    /**
+     * Reads the connection again; for any thread. MINA changes what a connection is watched for without a
+     * lock, so that only the thread that reads may do it, or one change is lost.
+     */
+    public static void resume(IoSession session) {
+        if (session.getAttribute(PROCESSOR) instanceof SocketProcessor processor) {
+            processor.toResume.add((NioSession) session);
+            processor.wakeup();
+        }
+    }
+
+    private void resumeDue() {
+        for (var next = toResume.poll(); next != null; next = toResume.poll()) {
+            paused.remove(next);
+            next.resumeRead();
+        }
+        if (!paused.isEmpty()) {
+            long now = System.nanoTime();
+            paused.entrySet().removeIf(each -> {
+                boolean due = now - each.getValue() >= 0;
+                if (due) {
+                    each.getKey().resumeRead();
+                }
+                return due || !each.getKey().isConnected();
+            });
+        }
+    }
+
     @Override
     protected void init(NioSession session) throws Exception {
         super.init(session);
+        session.setAttribute(PROCESSOR, this);
         unheard.put(session, new Unheard(System.nanoTime(), 0));
     }
 
@@ -91,14 +138,16 @@
     protected int select(long timeout) throws Exception {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeout);
         while (true) {
+            resumeDue();
             int found = watchAnew();
             long left = Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime()));
             // To watch a connection anew takes a selection of its own, which a wake-up may have ended.
             boolean hasWork = found > 0 || woken.get() || turns.hasWaiting();
             long wait = Math.min(left, hasWork ? 1 : FaultySelector.LONGEST_WAIT_MS);
+            var watched = watchedOf(notReadToTheEnd);
             found += FaultySelector.select(() -> super.select(wait), super::selectedSessions);
+            watched.forEach(this::forgetIfReadToTheEnd);
             found += turns.hasWaiting() ? 1 : 0;
-            forgetReadToTheEnd();
             boolean wasWoken = woken.getAndSet(false);
             if (found > 0 || wasWoken || left <= wait) {
                 return found;
@@ -117,35 +166,56 @@
         FaultySelector.wake(super::wakeup);
     }
 
-    /** How much the selections found that this made on its way. */
+    /** How much the selection found that this made on its way. */
     private int watchAnew() {
-        int found = 0;
+        var due = new ArrayList<SelectionKey>();
         long now = System.nanoTime();
         for (var each = unheard.entrySet().iterator(); each.hasNext();) {
             var entry = each.next();
             var state = entry.getValue();
             var key = entry.getKey().getSelectionKey();
             boolean over = key == null || !key.isValid() || state.times() == MOST_WATCHED_ANEW;
-            if (over || entry.getKey().getReadBytes() > 0) {
+            if (over || entry.getKey().getReadBytes() > 0 || selector.selectedKeys().contains(key)) {
                 each.remove();
             } else if (state.isDue(now)) {
                 entry.setValue(new Unheard(state.since(), state.times() + 1));
-                found += watchAnew(key);
+                due.add(key);
             }
         }
+        return due.isEmpty() ? 0 : watchAnew(due);
+    }
+
+    /** Takes them off the system's list and adds them again, which changes nothing where they were there. */
+    private int watchAnew(List<SelectionKey> keys) {
+        var wanted = new LinkedHashMap<SelectionKey, Integer>();
+        int found = 0;
+        try {
+            for (var key : keys) {
+                takeOff(key, wanted);
+            }
+            found = selector.selectNow();
+        } catch (IOException e) {
+            // What is ready is found by the next selection.
+        }
+        wanted.forEach(SocketProcessor::add);
         return found;
     }
 
-    /** Takes it off the system's list and adds it again, which changes nothing where it was there. */
-    private static int watchAnew(SelectionKey key) {
+    private static void takeOff(SelectionKey key, Map<SelectionKey, Integer> wanted) {
         try {
-            int wanted = key.interestOps();
+            int before = key.interestOps();
             key.interestOps(0);
-            int found = key.selector().selectNow();
+            wanted.put(key, before);
+        } catch (CancelledKeyException e) {
+            // The connection is gone.
+        }
+    }
+
+    private static void add(SelectionKey key, int wanted) {
+        try {
             key.interestOps(wanted);
-            return found;
-        } catch (IOException | CancelledKeyException e) {
-            return 0;
+        } catch (CancelledKeyException e) {
+            // The connection is gone.
         }
     }
 
@@ -162,16 +232,26 @@
         return count < END_OF_INPUT ? 0 : count;
     }
 
-    /** A read that filled its buffer may have taken all there was: then the next selection finds nothing. */
-    private void forgetReadToTheEnd() {
-        for (var each = notReadToTheEnd.iterator(); each.hasNext();) {
-            var session = each.next();
-            var key = session.getSelectionKey();
-            boolean gone = key == null || !key.isValid();
-            if (gone || !session.isReadSuspended() && !selector.selectedKeys().contains(key)) {
-                each.remove();
-                session.removeAttribute(UNREAD_SINCE);
-            }
+    /** Those that the next selection finds if anything is there to be read, however it is paused meanwhile. */
+    private static List<NioSession> watchedOf(Set<NioSession> sessions) {
+        return sessions.isEmpty() ? List.of() : sessions.stream().filter(SocketProcessor::isWatched).toList();
+    }
+
+    private static boolean isWatched(NioSession session) {
+        var key = session.getSelectionKey();
+        try {
+            return key == null || (key.interestOps() & SelectionKey.OP_READ) != 0;
+        } catch (CancelledKeyException e) {
+            return true;
+        }
+    }
+
+    /** A read that filled its buffer may have taken all there was: then a selection finds nothing. */
+    private void forgetIfReadToTheEnd(NioSession session) {
+        var key = session.getSelectionKey();
+        if (key == null || !key.isValid() || !selector.selectedKeys().contains(key)) {
+            notReadToTheEnd.remove(session);
+            session.removeAttribute(UNREAD_SINCE);
         }
     }
 
--- a/net/src/main/java/ryemast/net/client/ClientConnection.java
+++ b/net/src/main/java/ryemast/net/client/ClientConnection.java
@@ -8,6 +8,8 @@
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.SocketAccess;
 import org.apache.mina.transport.socket.nio.SocketProcessor;
+import ryemast.core.Note;
+import ryemast.core.Submission;
 import ryemast.core.Terminal;
 import ryemast.core.Transaction;
 import ryemast.net.Link;
@@ -37,8 +39,15 @@
     /** A client whose input has not been read to its end for so long may have left, in nanoseconds. */
     private static final long LONGEST_UNREAD = 50_000_000;
 
+    /** So long a job waits for its client's input to be read to its end, and from look to look; microseconds. */
+    private static final long LONGEST_HELD = 500_000;
+    private static final long HELD_AGAIN = 5_000;
+
     /** So many answers may wait to be written; more would fill the memory where nobody reads them. */
     private static final int MOST_UNWRITTEN = 256;
+    /** The same in bytes, as a result may be large. */
+    private static final long MOST_UNWRITTEN_BYTES = 128 * 1024;
+    private static final String NAME_USED = "header X-Txn: this one was used before";
 
     private enum Phase {
         OPEN,
@@ -120,14 +129,22 @@
         }
     }
 
+    /** Its close may stand behind what was not read yet, or has not come as it was left unread lately. */
     @Override
-    public boolean isPresent() {
-        return session.isConnected() && !session.isClosing()
-                && SocketProcessor.unreadFor(session) < LONGEST_UNREAD;
+    public Presence presence() {
+        if (!session.isConnected() || session.isClosing()) {
+            return Presence.GONE;
+        }
+        boolean readToTheEnd = !session.isReadSuspended()
+                && SocketProcessor.unreadFor(session) < LONGEST_UNREAD
+                && ClientServer.pace(session).isSteady(server.loop.clock());
+        return readToTheEnd ? Presence.PRESENT : Presence.UNKNOWN;
     }
 
     /** The client sends without end: the request that is served ends, too. */
     private void giveUp(String why) {
+        Note.info(LOG, "{peer}: {why}; its request is not served on", "peer", session.getRemoteAddress(),
+                "why", why);
         if (transaction != null) {
             server.exchange.left(transaction);
             transaction = null;
@@ -138,7 +155,8 @@
 
     /** Nothing is taken while too many answers wait for the client to read the ones before. */
     private boolean mayBegin() {
-        return phase == Phase.OPEN && !busy && unwritten < MOST_UNWRITTEN;
+        return phase == Phase.OPEN && !busy && unwritten < MOST_UNWRITTEN
+                && session.getScheduledWriteBytes() < MOST_UNWRITTEN_BYTES;
     }
 
     /** The turn of the first that waits; nothing does any more if the connection has ended meanwhile. */
@@ -170,6 +188,7 @@
             return;
         }
         if (message == PipelinedRequests.NOT_KEPT) {
+            server.counts.notKept();
             refused(0, false);
             return;
         }
@@ -217,19 +236,45 @@
         try {
             var submission = server.jobs.read(request, arrivedAt);
             if (!server.exchange.isFree(submission.txn())) {
-                throw new HttpException(400, "header X-Txn: this one was used before");
+                throw new HttpException(400, NAME_USED);
             }
             stranger = false;
             if (server.isRefusing()) {
                 refused(0, false);
-                return;
+            } else {
+                submit(submission, server.loop.now() + LONGEST_HELD);
             }
-            transaction = server.exchange.submit(submission, this);
         } catch (HttpException e) {
             turnAway(e.status(), e.getMessage());
         }
     }
 
+    /** Waits until it is known that the client is there; where it goes on sending, its job is refused. */
+    private void submit(Submission submission, long heldUntil) {
+        if (presence() == Presence.PRESENT) {
+            transaction = server.exchange.submit(submission, this);
+        } else if (server.loop.now() >= heldUntil) {
+            refused(0, false);
+        } else {
+            var held = served;
+            server.loop.at(server.loop.now() + HELD_AGAIN, () -> {
+                if (served == held && held != null) {
+                    submitHeld(submission, heldUntil);
+                }
+            });
+        }
+    }
+
+    private void submitHeld(Submission submission, long heldUntil) {
+        if (!server.exchange.isFree(submission.txn())) {
+            turnAway(400, NAME_USED);
+        } else if (server.isRefusing()) {
+            refused(0, false);
+        } else {
+            submit(submission, heldUntil);
+        }
+    }
+
     @Override
     public void served(String result) {
         var head = HttpHead.response(200).with("Content-Type", "application/octet-stream");
@@ -317,6 +362,7 @@
         var answer = plain(status, why);
         answer.head().with("Connection", "close");
         phase = Phase.TURNED_AWAY;
+        server.counts.turnedAway(status);
         releaseServed();
         waiting.clear();
         HttpCodec.ignoreRest(session);
@@ -424,6 +470,7 @@
         releaseServed();
         waiting.clear();
         if (transaction != null) {
+            server.counts.left();
             server.exchange.left(transaction);
             transaction = null;
         }
--- a/net/src/main/java/ryemast/net/client/ClientServer.java
+++ b/net/src/main/java/ryemast/net/client/ClientServer.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import java.util.stream.Stream;
 import org.apache.mina.core.RuntimeIoException;
@@ -21,6 +22,7 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.SocketAcceptor;
 import org.apache.mina.transport.socket.nio.SocketAccess;
+import org.apache.mina.transport.socket.nio.SocketProcessor;
 import ryemast.core.Exchange;
 import ryemast.core.Loop;
 import ryemast.core.Note;
@@ -58,6 +60,7 @@
     final ClientTuning tuning;
     final RequestMemory memory = RequestMemory.ofHeap();
     final PipelinedRequests.Budget pipelined = new PipelinedRequests.Budget(memory);
+    final ClientCounts counts;
     private final SocketAcceptor acceptor;
     private final int most;
     /** Those that were accepted and whose end was not told yet; changed by the threads that see them. */
@@ -82,6 +85,7 @@
         this.jobs = jobs;
         this.most = most;
         this.tuning = tuning;
+        counts = new ClientCounts(loop, memory);
         acceptor = new Acceptor(transport.processor());
         acceptor.setReuseAddress(true);
         acceptor.setCloseOnDeactivation(false);
@@ -209,6 +213,15 @@
         }
     }
 
+    static ReadPace pace(IoSession session) {
+        var pace = (ReadPace) session.getAttribute(PACE);
+        if (pace == null) {
+            pace = new ReadPace();
+            session.setAttribute(PACE, pace);
+        }
+        return pace;
+    }
+
     /** Those go first that have been in the middle of a request for longest, as they may have stopped there. */
     private void shedUnfinished() {
         open.stream().filter(each -> each.insideFor() > UNDER_WAY)
@@ -305,18 +318,9 @@
         public void messageReceived(IoSession session, Object message) {
             super.messageReceived(session, message);
             if (pace(session).isTooFast(loop.clock(), session.getReadBytes()) && !session.isReadSuspended()) {
-                session.suspendRead();
-                loop.post(() -> loop.at(loop.now() + ReadPace.STEP, session::resumeRead));
-            }
-        }
-
-        private static ReadPace pace(IoSession session) {
-            var pace = (ReadPace) session.getAttribute(PACE);
-            if (pace == null) {
-                pace = new ReadPace();
-                session.setAttribute(PACE, pace);
+                SocketProcessor.pause(session, TimeUnit.MICROSECONDS.toNanos(ReadPace.STEP));
+                counts.readInSteps();
             }
-            return pace;
         }
 
         @Override
--- a/net/src/main/java/ryemast/net/client/ReadPace.java
+++ b/net/src/main/java/ryemast/net/client/ReadPace.java
@@ -2,18 +2,25 @@
 
 /**
  * How fast one connection may hand over requests: a client that waits for each answer never comes near it, one
- * that sends without waiting is read in steps, so that neither the loop nor other clients wait behind it. A
- * step is so short that the client's close is still seen in time. For the one thread that reads.
+ * that sends without waiting is read in steps, so that neither the loop nor other clients wait behind it.
+ *
+ * <p>While a connection is left unread, what its client sends waits on the client's side, its close behind it.
+ * So a while must pass without a pause until it is known again that the client is there. For the one thread
+ * that reads, but for {@link #isSteady}.
  */
 final class ReadPace {
 
     /** How long a step is, and how long a connection that was too fast is left unread, in microseconds. */
     static final long STEP = 20_000;
     /** So many requests may come in a step. */
-    private static final int REQUESTS = 64;
+    private static final int REQUESTS = 128;
     /** So many bytes count as a request. */
     private static final int BYTES_FOR_ONE = 1024;
 
+    /** A step, what it may take until reading goes on, and the way of what was held back, in microseconds. */
+    static final long STEADY_AFTER = STEP + 40_000;
+
+    private volatile long pausedAt = Long.MIN_VALUE / 2;
     private long stepBegan;
     private long bytesBefore;
     private int requests;
@@ -31,6 +38,13 @@
             requests = 0;
         }
         requests++;
-        return requests + (bytes - bytesBefore) / BYTES_FOR_ONE > REQUESTS;
+        boolean tooFast = requests + (bytes - bytesBefore) / BYTES_FOR_ONE > REQUESTS;
+        pausedAt = tooFast ? now : pausedAt;
+        return tooFast;
+    }
+
+    /** Whether the connection has not been left unread lately; for any thread. */
+    boolean isSteady(long now) {
+        return now - pausedAt >= STEADY_AFTER;
     }
 }
--- a/net/src/main/java/ryemast/net/http/HttpCodec.java
+++ b/net/src/main/java/ryemast/net/http/HttpCodec.java
@@ -14,6 +14,7 @@
 import org.apache.mina.filter.codec.ProtocolEncoder;
 import org.apache.mina.filter.codec.ProtocolEncoderAdapter;
 import org.apache.mina.filter.codec.ProtocolEncoderOutput;
+import org.apache.mina.transport.socket.nio.SocketProcessor;
 
 /**
  * The parser as a MINA codec. A handler receives an {@link HttpMessage} for each whole message or, in
@@ -121,7 +122,7 @@
     /** What still comes on this connection is not understood any more; for one that something came on. */
     public static void ignoreRest(IoSession session) {
         ((Reading) session.getAttribute(STATE)).fail();
-        session.resumeRead();
+        SocketProcessor.resume(session);
     }
 
     @Override
--- a/net/src/main/java/ryemast/net/http/HttpParser.java
+++ b/net/src/main/java/ryemast/net/http/HttpParser.java
@@ -38,6 +38,7 @@
     private final Sink sink;
     /** The names of the headers that are kept, in lower case; null for all. */
     private final Set<String> kept;
+    private final int shortestKept;
     private ByteArrayOutputStream line = new ByteArrayOutputStream(USUAL_LINE);
     private State state = State.START;
     private String[] startLine;
@@ -46,7 +47,6 @@
     private long bodyRead;
     private int headRead;
     private int headHeld;
-    private long lines;
 
     /**
      * @param requests  whether requests are read; else responses
@@ -61,6 +61,7 @@
         this.requests = requests;
         this.maxBody = maxBody;
         this.kept = kept;
+        shortestKept = kept == null ? 0 : kept.stream().mapToInt(String::length).min().orElse(0);
         this.sink = sink;
     }
 
@@ -69,11 +70,6 @@
         return headHeld + line.size();
     }
 
-    /** How many lines have come: what a message costs in time, beside its length. */
-    long lines() {
-        return lines;
-    }
-
     /** Lets go of what is held, where nothing more is to be fed. */
     void clear() {
         line = new ByteArrayOutputStream(0);
@@ -133,7 +129,6 @@
         while (in.hasRemaining()) {
             byte next = in.get();
             if (next == '\n') {
-                lines++;
                 var text = line.toString(StandardCharsets.ISO_8859_1);
                 if (text.length() > USUAL_LINE) {
                     line = new ByteArrayOutputStream(USUAL_LINE);
@@ -192,7 +187,7 @@
     private String[] startLine(String text) throws HttpException {
         var parts = text.split(" ", 3);
         var version = parts.length < 2 || requests && parts.length < 3 ? "" : parts[requests ? 2 : 0];
-        if (!version.startsWith("HTTP/") || !isToken(parts[0].replace("/", ""))) {
+        if (!version.startsWith("HTTP/") || !isMethod(parts[0].replace("/", ""))) {
             throw new HttpException(400, "a malformed start line");
         }
         if (!version.equals("HTTP/1.1") && !version.equals("HTTP/1.0")) {
@@ -217,14 +212,21 @@
         return true;
     }
 
-    /** As RFC 9110 has it; the letters of hundreds of lines are looked at, so that a table answers. */
-    private static boolean isToken(String text) {
-        for (int i = 0; i < text.length(); i++) {
+    private static boolean isMethod(String text) {
+        return isToken(text, text.length());
+    }
+
+    /**
+     * Whether the text begins with a token of this length, as RFC 9110 has it. A head has thousands of lines
+     * at worst, so that a table answers.
+     */
+    private static boolean isToken(String text, int length) {
+        for (int i = 0; i < length; i++) {
             if (text.charAt(i) > DELETE || !TOKEN[text.charAt(i)]) {
                 return false;
             }
         }
-        return !text.isEmpty();
+        return length > 0;
     }
 
     private static boolean[] tokenLetters() {
@@ -235,9 +237,9 @@
         return token;
     }
 
-    private static boolean hasControlLetter(String value) {
-        for (int i = 0; i < value.length(); i++) {
-            char letter = value.charAt(i);
+    private static boolean hasControlLetter(String text, int from) {
+        for (int i = from; i < text.length(); i++) {
+            char letter = text.charAt(i);
             if (letter < ' ' && letter != '\t' || letter == DELETE) {
                 return true;
             }
@@ -247,17 +249,20 @@
 
     private void header(String text) throws HttpException {
         int colon = text.indexOf(':');
-        if (colon < 0 || !isToken(text.substring(0, colon))) {
+        if (colon < 0 || !isToken(text, colon)) {
             throw new HttpException(400, "a malformed header line");
         }
-        var name = text.substring(0, colon).toLowerCase(Locale.ROOT);
-        var value = trimmed(text, colon + 1);
-        if (hasControlLetter(value)) {
-            throw new HttpException(400, "a control character in header " + name);
+        if (hasControlLetter(text, colon + 1)) {
+            throw new HttpException(400, "a control character in header " + text.substring(0, colon));
+        }
+        if (kept != null && colon < shortestKept) {
+            return;
         }
+        var name = text.substring(0, colon).toLowerCase(Locale.ROOT);
         if (kept != null && !kept.contains(name)) {
             return;
         }
+        var value = trimmed(text, colon + 1);
         headHeld += EACH_HEADER + text.length();
         var before = headers.putIfAbsent(name, value);
         if (before != null && name.equals("content-length") && !before.equals(value)) {
--- a/net/src/main/java/ryemast/net/worker/Call.java
+++ b/net/src/main/java/ryemast/net/worker/Call.java
@@ -60,6 +60,11 @@
         return task == null || exchange.mayBegin(task);
     }
 
+    /** Whether it is to be asked again soon; see {@link Exchange#mayBeginLater}. */
+    boolean mayBeginLater() {
+        return task != null && exchange.mayBeginLater(task);
+    }
+
     /** It must not be written any more: the attempt never reached the worker. */
     void neverBegan() {
         exchange.ended(task, Outcome.NOT_SENT);
--- a/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -49,6 +49,9 @@
      */
     public static final long LEAST_REST = 20_000;
 
+    /** How soon a call is tried again that may not begin yet, in microseconds. */
+    private static final long BEGIN_AGAIN = 5_000;
+
     /** How often a cancel is sent at most, and how long after a failed one the next follows. */
     private static final int DROP_TRIES = 4;
     private static final long DROP_AGAIN = 100_000;
@@ -281,12 +284,20 @@
             restBefore = idleSince == 0 ? -1 : rested(this);
             if (next.mayBegin()) {
                 write(next);
+            } else if (next.mayBeginLater()) {
+                loop.at(loop.now() + BEGIN_AGAIN, () -> carryHeld(next));
             } else {
                 rest();
                 next.neverBegan();
             }
         }
 
+        private void carryHeld(Call held) {
+            if (call == held && !closed) {
+                carry(held);
+            }
+        }
+
         private void write(Call next) {
             var bytes = HttpCodec.bytes(next.message());
             // All that was written before has been answered, so that this count stands still.
