--- a/net/src/main/java/ryemast/net/client/ReadPace.java
+++ b/net/src/main/java/ryemast/net/client/ReadPace.java
@@ -13,9 +13,9 @@
     /** How long a step is, and how long a connection that was too fast is left unread, in microseconds. */
     static final long STEP = 20_000;
     /** So many requests may come in a step. */
-    private static final int REQUESTS = 128;
+    private static final int REQUESTS = 64;
     /** So many bytes count as a request. */
-    private static final int BYTES_FOR_ONE = 1024;
+    private static final int BYTES_FOR_ONE = 2048;
 
     /** A step, what it may take until reading goes on, and the way of what was held back, in microseconds. */
     static final long STEADY_AFTER = STEP + 40_000;
