Give the connection that has been ready for longest a turn in each round

Found on reading ReadTurns again: one connection of the accepted ones has its turn in each round, and it was the first by rank. Many connections that send small requests all the time would have kept those in the middle of a large one waiting for as long as they went on, up to their 408. The longest ready one comes first now, whatever its rank; the others follow by rank as before. Seen by reading only; no run has shown it.

--- a/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
@@ -57,9 +57,15 @@
         }
         waiting.forEach(key -> ranks.get(rank(session(key)).ordinal()).add(key));
         var first = new ArrayDeque<>(ranks.get(0));
-        var others = new ArrayDeque<SelectionKey>();
-        ranks.subList(1, ranks.size()).forEach(others::addAll);
-        return new Round(first, others, selected);
+        return new Round(first, new ArrayDeque<>(inTurn(ranks.subList(1, ranks.size()))), selected);
+    }
+
+    /** By rank, but for the one that has been ready for longest: no rank waits for ever behind the others. */
+    private Set<SelectionKey> inTurn(List<List<SelectionKey>> ranks) {
+        var turns = new LinkedHashSet<SelectionKey>();
+        waiting.stream().limit(1).forEach(turns::add);
+        ranks.forEach(turns::addAll);
+        return turns;
     }
 
     private static NioSession session(SelectionKey key) {
