--- a/app/src/test/java/ryemast/it/DepartedClientIT.java
+++ b/app/src/test/java/ryemast/it/DepartedClientIT.java
@@ -22,7 +22,7 @@
 
     /** An attempt that begins later than this after its client's close breaks the rule on lost requests. */
     private static final long SEEN_WITHIN_MS = 100;
-    /** How long the client stays after its job was sent, and how long the first worker takes to turn it away. */
+    /** How long the client stays, and how long the first worker takes to turn its job away. */
     private static final long STAYS_MS = 60;
     private static final long TURNED_AWAY_AFTER_MS = 400;
     private static final long WATCHED_MS = 1_500;
--- a/core/src/main/java/ryemast/core/Exchange.java
+++ b/core/src/main/java/ryemast/core/Exchange.java
@@ -182,14 +182,15 @@
 
     /**
      * Whether an attempt may still be written to its worker. A connection takes time to come up, and
-     * meanwhile the client may have left or been answered, or be out of sight, the time of the attempt may have passed, or the
-     * worker may have begun to drain. Asked of the clock itself, as the turn's reading may be old by now.
+     * meanwhile the client may have left or been answered, or be out of sight, the time of the attempt may
+     * have passed, or the worker may have begun to drain. Asked of the clock itself, as the turn's reading
+     * may be old by now.
      */
     public boolean mayBegin(RoutedTask task) {
         return mayBeginOnce(task, Terminal.Presence.PRESENT);
     }
 
-    /** Whether an attempt that may not begin yet may do so soon, as it is not known if its client is there. */
+    /** Whether an attempt may begin soon: for a moment it is not known if its client is there. */
     public boolean mayBeginLater(RoutedTask task) {
         return mayBeginOnce(task, Terminal.Presence.UNKNOWN);
     }
--- a/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
@@ -14,11 +14,11 @@
 import ryemast.net.http.HttpCodec;
 
 /**
- * In which order ready connections are read, so that whatever a crowd sends, no round is long and nobody waits
- * for the crowd's largest messages. Those that the program opened come first, as jobs in hand wait for them.
- * Those that were accepted take turns for a short while in each round: who has sent whole messages before
- * those who have sent nothing yet, and these before those in the middle of a message; within each rank the one
- * that has been ready for longest. For the one thread that reads.
+ * In which order ready connections are read, so that whatever a crowd sends, no round is long and nobody
+ * waits for the crowd's largest messages. Those that the program opened come first, as jobs in hand wait
+ * for them. Those that were accepted take turns for a short while in each round: who has sent whole
+ * messages before those who have sent nothing yet, and these before those in the middle of a message;
+ * within each rank the one that has been ready for longest. For the one thread that reads.
  */
 final class ReadTurns {
 
--- a/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
@@ -232,7 +232,7 @@
         return count < END_OF_INPUT ? 0 : count;
     }
 
-    /** Those that the next selection finds if anything is there to be read, however it is paused meanwhile. */
+    /** Those that the next selection finds if anything is there to be read. */
     private static List<NioSession> watchedOf(Set<NioSession> sessions) {
         return sessions.isEmpty() ? List.of() : sessions.stream().filter(SocketProcessor::isWatched).toList();
     }
--- a/net/src/main/java/ryemast/net/client/ClientConnection.java
+++ b/net/src/main/java/ryemast/net/client/ClientConnection.java
@@ -39,7 +39,7 @@
     /** A client whose input has not been read to its end for so long may have left, in nanoseconds. */
     private static final long LONGEST_UNREAD = 50_000_000;
 
-    /** So long a job waits for its client's input to be read to its end, and from look to look; microseconds. */
+    /** So long a job waits until its client is known to be there, and from look to look; microseconds. */
     private static final long LONGEST_HELD = 500_000;
     private static final long HELD_AGAIN = 5_000;
 
--- a/net/src/main/java/ryemast/net/client/ClientCounts.java
+++ b/net/src/main/java/ryemast/net/client/ClientCounts.java
@@ -39,8 +39,8 @@
         long withoutRoom = memory.takeRefused();
         if (!turnedAway.isEmpty() || paused > 0 || withoutRoom > 0 || left > 0 || notKept > 0) {
             Note.info(LOG, "clients in the last 10 s: {left} left before their answer; turned away by status"
-                    + " {turned_away}; {not_kept} requests refused unkept; no memory {no_memory} times, {free_kb}"
-                    + " KB free; {paused} times read in steps", "left", left,
+                    + " {turned_away}; {not_kept} requests refused unkept; no memory"
+                    + " {no_memory} times, {free_kb} KB free; {paused} times read in steps", "left", left,
                     "turned_away", turnedAway.toString(), "not_kept", notKept, "no_memory", withoutRoom,
                     "free_kb", memory.left() / BYTES_PER_KB, "paused", paused);
         }
--- a/net/src/main/java/ryemast/net/client/ClientServer.java
+++ b/net/src/main/java/ryemast/net/client/ClientServer.java
@@ -222,7 +222,7 @@
         return pace;
     }
 
-    /** Those go first that have been in the middle of a request for longest, as they may have stopped there. */
+    /** Those in the middle of a request for longest go first, as they may have stopped there. */
     private void shedUnfinished() {
         open.stream().filter(each -> each.insideFor() > UNDER_WAY)
                 .sorted(Comparator.comparingLong(ClientConnection::insideFor).reversed())
--- a/net/src/main/java/ryemast/net/client/PipelinedRequests.java
+++ b/net/src/main/java/ryemast/net/client/PipelinedRequests.java
@@ -81,8 +81,7 @@
             counted++;
         } else if (!(message instanceof HttpMessage request)) {
             fault = new Arrival(message, at);
-        } else if (counted == 0 && bytes + RequestMemory.size(request) <= MOST_BYTES && budget.take(RequestMemory.size(request))) {
-            bytes += RequestMemory.size(request);
+        } else if (counted == 0 && keeps(RequestMemory.size(request))) {
             kept.add(new Arrival(request, at));
         } else {
             budget.memory.release(request);
@@ -91,6 +90,12 @@
         return counted <= MOST_COUNTED;
     }
 
+    private boolean keeps(int size) {
+        boolean keeps = bytes + size <= MOST_BYTES && budget.take(size);
+        bytes += keeps ? size : 0;
+        return keeps;
+    }
+
     /** The first of them, which is taken off; null if there is none. */
     Arrival next() {
         if (!kept.isEmpty()) {
--- a/net/src/main/java/ryemast/net/client/ReadPace.java
+++ b/net/src/main/java/ryemast/net/client/ReadPace.java
@@ -1,12 +1,13 @@
 package ryemast.net.client;
 
 /**
- * How fast one connection may hand over requests: a client that waits for each answer never comes near it, one
- * that sends without waiting is read in steps, so that neither the loop nor other clients wait behind it.
+ * How fast one connection may hand over requests: a client that waits for each answer never comes near it,
+ * one that sends without waiting is read in steps, so that neither the loop nor other clients wait behind
+ * it.
  *
- * <p>While a connection is left unread, what its client sends waits on the client's side, its close behind it.
- * So a while must pass without a pause until it is known again that the client is there. For the one thread
- * that reads, but for {@link #isSteady}.
+ * <p>While a connection is left unread, what its client sends waits on the client's side, its close behind
+ * it. So a while must pass without a pause until it is known again that the client is there. For the one
+ * thread that reads, but for {@link #isSteady}.
  */
 final class ReadPace {
 
--- a/net/src/main/java/ryemast/net/http/RequestMemory.java
+++ b/net/src/main/java/ryemast/net/http/RequestMemory.java
@@ -5,12 +5,12 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Bounds what the requests of all connections keep in memory together: those that have come in part, and whole
- * ones until whoever took them releases them. A connection is bounded by the largest request, but hundreds of
- * connections are not.
+ * Bounds what the requests of all connections keep in memory together: those that have come in part, and
+ * whole ones until whoever took them releases them. A connection is bounded by the largest request, but
+ * hundreds of connections are not.
  *
- * <p>Unfinished requests leave a part free, so that small whole ones get through while a crowd holds the rest.
- * Safe for many threads.
+ * <p>Unfinished requests leave a part free, so that small whole ones get through while a crowd holds the
+ * rest. Safe for many threads.
  */
 public final class RequestMemory {
 
@@ -79,7 +79,7 @@
         left.addAndGet(bytes);
     }
 
-    /** What a codec that was given this memory handed over is not needed any more; no message holds nothing. */
+    /** What a codec has handed over is not needed any more; what is no message holds nothing. */
     public void release(Object handedOver) {
         if (handedOver instanceof HttpMessage message) {
             left.addAndGet(size(message));
