--- a/app/src/test/java/ryemast/it/CrowdMemoryIT.java
+++ b/app/src/test/java/ryemast/it/CrowdMemoryIT.java
@@ -87,6 +87,15 @@
         assertEquals(List.of(), distinct(failures(crowd, ProbeClient::failures)));
     }
 
+    /** The same where the program has all cores: what a crowd sends is taken in faster than it is let go. */
+    @ParameterizedTest
+    @MethodSource("crowds")
+    void aCrowdOfUnfinishedRequestsEndsNoProcessOnManyCores(Crowd crowd) throws Exception {
+        try (var platform = new Platform()) {
+            assertEquals(List.of(), distinct(failures(platform, crowd, ProbeClient::unanswered)));
+        }
+    }
+
     private static List<String> distinct(List<String> texts) {
         return texts.stream().distinct().toList();
     }
@@ -95,23 +104,29 @@
             throws Exception {
         try (var platform = new Platform()) {
             platform.limitToOneCore();
-            try (var probe = new ProbeClient(platform)) {
-                until(() -> probe.answered() >= 20);
-                long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CROWD_MS);
-                int rounds = 0;
-                while (System.nanoTime() < end && platform.program().isAlive()) {
-                    play(platform, crowd, rounds++);
-                }
-                int before = probe.answered();
-                until(() -> probe.answered() >= before + 5 || !platform.program().isAlive());
-                var summary = crowd + ": " + rounds + " rounds; " + probe.summary();
-                assertTrue(platform.program().isAlive(), () -> summary + "; the process has ended");
-                long peak = platform.kernel("VmHWM") / 1024;
-                System.out.println(summary + "; peak memory " + peak + " MB; failures "
-                        + distinct(probe.failures()));
-                assertTrue(peak < MEMORY_LIMIT_MB, peak + " MB");
-                return which.apply(probe);
+            return failures(platform, crowd, which);
+        }
+    }
+
+    private static List<String> failures(Platform platform, Crowd crowd,
+            Function<ProbeClient, List<String>> which) throws Exception {
+        try (var probe = new ProbeClient(platform)) {
+            until(() -> probe.answered() >= 20);
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CROWD_MS);
+            int rounds = 0;
+            while (System.nanoTime() < end && platform.program().isAlive()) {
+                play(platform, crowd, rounds++);
             }
+            int before = probe.answered();
+            until(() -> probe.answered() >= before + 5 || !platform.program().isAlive());
+            var summary = crowd + ": " + rounds + " rounds; " + probe.summary();
+            assertTrue(platform.program().isAlive(),
+                    () -> summary + "; the process ended with " + platform.program().exitValue());
+            long peak = platform.kernel("VmHWM") / 1024;
+            System.out.println(summary + "; peak memory " + peak + " MB; failures "
+                    + distinct(probe.failures()));
+            assertTrue(peak < MEMORY_LIMIT_MB, peak + " MB");
+            return which.apply(probe);
         }
     }
 
