--- a/app/src/test/java/ryemast/it/CrowdMemoryIT.java
+++ b/app/src/test/java/ryemast/it/CrowdMemoryIT.java
@@ -9,8 +9,11 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -29,6 +32,7 @@
     private static final int PART = 2_500;
     /** Longer than the program waits for the rest of a request. */
     private static final int HELD_MS = 2_500;
+    private static final Pattern FREE = Pattern.compile("([0-9]+) KB free");
     private static final int HEADS_BEHIND_ANOTHER = 40;
 
     /**
@@ -96,6 +100,33 @@
         }
     }
 
+    /** Guards the bound itself: what is counted for requests is given back, however they end. */
+    @Test
+    void nothingIsHeldOnceTheCrowdsAreGone() throws Exception {
+        try (var platform = new Platform()) {
+            long before = freeKilobytes(platform);
+            for (var crowd : crowds().toList()) {
+                play(platform, crowd, crowd.name().length());
+            }
+            until(() -> freeKilobytes(platform) == before);
+        }
+    }
+
+    /** As the log says; a request that is at fault makes it say so. */
+    private static long freeKilobytes(Platform platform) throws Exception {
+        int lines = platform.log.size();
+        try (var client = platform.client()) {
+            assertEquals("400", client.send("?\r\n").read().status());
+        }
+        until(() -> free(platform, lines).findAny().isPresent());
+        return free(platform, lines).mapToLong(Long::parseLong).findFirst().orElseThrow();
+    }
+
+    private static Stream<String> free(Platform platform, int from) {
+        return platform.log.stream().skip(from).map(FREE::matcher).filter(Matcher::find)
+                .map(found -> found.group(1));
+    }
+
     private static List<String> distinct(List<String> texts) {
         return texts.stream().distinct().toList();
     }
--- a/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
+++ b/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
@@ -32,6 +32,7 @@
 import ryemast.net.DrivenLoop;
 import ryemast.net.HeldProcessor;
 import ryemast.net.Transport;
+import ryemast.net.http.RequestMemory;
 
 /**
  * Ends of clients' connections, and what crosses them. The one thread that reads and writes is held where a
@@ -82,12 +83,14 @@
         processor = new HeldProcessor(transport, driven);
     }
 
+    /** Also guards the memory for requests: whatever became of them, nothing is held once clients are gone. */
     @AfterEach
-    void close() throws IOException {
+    void close() throws Exception {
         processor.close();
         for (var client : clients) {
             client.close();
         }
+        driven.until(() -> server.memory.left() == RequestMemory.ofHeap().left());
         server.stop();
     }
 
