--- a/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
+++ b/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
@@ -83,7 +83,7 @@
         processor = new HeldProcessor(transport, driven);
     }
 
-    /** Also guards the memory for requests: whatever became of them, nothing is held once clients are gone. */
+    /** Also guards the memory for requests: nothing of them is held once their clients are gone. */
     @AfterEach
     void close() throws Exception {
         processor.close();
