Give a fleet trial's book all changes of one step at once

Cause: the book of the records was given the changes of a transaction one by one, by key, a fire's record before its entry's mark. The judge reads the book while processes still run; read between the two, it held the fire without its mark. A fault of the lab, not of the dispatcher.

Change: KeyValues gives its listeners all changes that take effect together in one call, and RecordBook takes them in one step. KeyValueApiTest.whatTakesEffectTogetherIsGivenTogether guards that.

--- a/lab/src/main/java/ryemast/lab/consul/ConsulApi.java
+++ b/lab/src/main/java/ryemast/lab/consul/ConsulApi.java
@@ -99,8 +99,8 @@
         return new ConsulBoxes(state, agent, service);
     }
 
-    /** Told of each change of a key as it takes effect; not of what a restore or a lost disk does. */
-    public void onWrite(Consumer<Written> listener) {
+    /** Given all changes of keys that take effect together; not what a restore or a lost disk does. */
+    public void onWrite(Consumer<List<Written>> listener) {
         keys.onWrite(listener);
     }
 
--- a/lab/src/main/java/ryemast/lab/consul/KeyValues.java
+++ b/lab/src/main/java/ryemast/lab/consul/KeyValues.java
@@ -44,7 +44,7 @@
     private final ArrayDeque<Grave> dug = new ArrayDeque<>();
     /** By prefix, the index of the last change under it; 0 where there is no trace of one. */
     private final Map<String, Long> byPrefix = new HashMap<>();
-    private final List<Consumer<Written>> listeners = new ArrayList<>();
+    private final List<Consumer<List<Written>>> listeners = new ArrayList<>();
     /** Of the last change of any key. */
     private long index;
     /** No prefix's index is below it. */
@@ -89,7 +89,8 @@
         floor = at;
     }
 
-    void onWrite(Consumer<Written> listener) {
+    /** It gets all that takes effect together at once, in the order of the keys. */
+    void onWrite(Consumer<List<Written>> listener) {
         listeners.add(listener);
     }
 
@@ -177,14 +178,16 @@
             }
             byPrefix.replaceAll((prefix, last) -> key.startsWith(prefix) ? index : last);
         });
-        was.keySet().stream().sorted().forEach(key -> {
-            var entry = entries.get(key);
-            listeners.forEach(each -> each.accept(
-                    new Written(now, key, entry == null ? null : entry.value, index)));
-        });
+        var written = was.keySet().stream().sorted().map(key -> written(now, key)).toList();
+        listeners.forEach(each -> each.accept(written));
         state.reached(index);
     }
 
+    private Written written(long now, String key) {
+        var entry = entries.get(key);
+        return new Written(now, key, entry == null ? null : entry.value, index);
+    }
+
     private long next() {
         return state.index() + 1;
     }
--- a/lab/src/main/java/ryemast/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/ryemast/lab/fleet/FleetRun.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import ryemast.lab.books.History;
 import ryemast.lab.books.RunResult;
+import ryemast.lab.consul.Written;
 import ryemast.lab.scenario.Scenario;
 import ryemast.lab.sockets.EmulatedSite;
 import ryemast.lab.sockets.EmulatedSite.Ending;
@@ -88,17 +89,22 @@
     private void follow(EmulatedSite site, Waiting waiting) {
         if (trial.scenario().discovery().through() == Scenario.Through.CONSUL) {
             site.ask(() -> {
-                site.consul().api().onWrite(made -> {
-                    var change = new RecordBook.Change(site.now(), made.key(), made.value() == null ? null
-                            : new String(made.value(), StandardCharsets.UTF_8), made.index());
-                    records.changed(change);
-                    waiting.recorded(change);
+                site.consul().api().onWrite(step -> {
+                    long at = site.now();
+                    var changes = step.stream().map(made -> change(at, made)).toList();
+                    records.changed(changes);
+                    changes.forEach(waiting::recorded);
                 });
                 return null;
             });
         }
     }
 
+    private static RecordBook.Change change(long at, Written made) {
+        var value = made.value() == null ? null : new String(made.value(), StandardCharsets.UTF_8);
+        return new RecordBook.Change(at, made.key(), value, made.index());
+    }
+
     private long now() {
         var site = running.get();
         return site == null ? 0 : site.now();
--- a/lab/src/main/java/ryemast/lab/fleet/RecordBook.java
+++ b/lab/src/main/java/ryemast/lab/fleet/RecordBook.java
@@ -18,9 +18,9 @@
 
     private final List<Change> changes = new ArrayList<>();
 
-    /** To be called by whoever keeps the records, for each change of each, once it holds. */
-    public synchronized void changed(Change change) {
-        changes.add(change);
+    /** To be called by whoever keeps the records, with all changes that hold from the same step on. */
+    public synchronized void changed(List<Change> step) {
+        changes.addAll(step);
     }
 
     public synchronized List<Change> changes() {
--- a/lab/src/main/java/ryemast/lab/sockets/ConsulAgent.java
+++ b/lab/src/main/java/ryemast/lab/sockets/ConsulAgent.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -117,8 +118,8 @@
         return ask(then -> then.records(prefix));
     }
 
-    /** Told of each change of a key from now on, on the stand-in's thread. */
-    public void onWrite(Consumer<Written> listener) {
+    /** Given the changes of keys from now on, those of one step at once, on the stand-in's thread. */
+    public void onWrite(Consumer<List<Written>> listener) {
         run(then -> then.onWrite(listener));
     }
 
--- a/lab/src/test/java/ryemast/lab/consul/KeyValueApiTest.java
+++ b/lab/src/test/java/ryemast/lab/consul/KeyValueApiTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Keys, sessions and what is done to them on command, held against what Consul's pages say. */
@@ -236,6 +237,16 @@
         assertEquals(200, get("/v1/kv/a?stale").status);
     }
 
+    /** Guards against a judge that sees a fire's record and not yet the mark that was set with it. */
+    @Test
+    void whatTakesEffectTogetherIsGivenTogether() {
+        var steps = new ArrayList<List<String>>();
+        api.onWrite(step -> steps.add(step.stream().map(Written::key).toList()));
+        txn("[{'KV':{'Verb':'set','Key':'b','Value':''}},{'KV':{'Verb':'set','Key':'a','Value':''}}]");
+        set("c", "1");
+        assertEquals(List.of(List.of("a", "b"), List.of("c")), steps);
+    }
+
     @Test
     void whatWasBackedUpComesBackUnderAnOldIndexOrANewOne() {
         assertEquals(400, put("/v1/lab/fault", "{\"kind\":\"restore\"}").status);
@@ -245,8 +256,8 @@
         long then = version("a");
         api.backup();
         var written = new ArrayList<String>();
-        api.onWrite(each -> written.add(each.key() + "@" + each.index()
-                + (each.value() == null ? " gone" : "")));
+        api.onWrite(step -> step.forEach(each -> written.add(each.key() + "@" + each.index()
+                + (each.value() == null ? " gone" : ""))));
         put("/v1/session/destroy/" + one, "");
         delete("/v1/kv/a");
         assertEquals("[a@" + (then + 1) + ", a@" + (then + 2) + " gone]", written.toString());
