Refuse no whole request where an unfinished one behind it is shed for memory

What clients would have seen: a whole request, not yet handled, was answered 503 and dropped, as the request behind it on the connection was not whole and memory was short.

Cause: how long a request has been under way was asked of the connection, not of the request that comes next. A connection with whole requests that wait, or are on their way from the reading thread, is passed over now, and so is it by the limit on a request's time.

Evidence: ConnectionEndTest.aWholeRequestIsAnsweredThoughTheUnfinishedOneBehindItCouldBeShed gets 503 where it should get its 404 without the change, and passes with it.

--- a/net/src/main/java/ryemast/net/client/ClientConnection.java
+++ b/net/src/main/java/ryemast/net/client/ClientConnection.java
@@ -100,7 +100,7 @@
     boolean isAsked(long longest) {
         long inside = HttpCodec.insideFor(session);
         boolean inTime = inside > 0 && inside < longest;
-        return phase == Phase.OPEN && (inTime || HttpCodec.whole(session) > handedOver);
+        return phase == Phase.OPEN && (inTime || hasUnhandled());
     }
 
     @Override
@@ -374,7 +374,13 @@
 
     /** For how long a request has been under way that is not whole, in microseconds. */
     long insideFor() {
-        return phase == Phase.OPEN && !busy ? HttpCodec.insideFor(session) : 0;
+        return phase == Phase.OPEN && !busy && waiting.isEmpty() && !hasUnhandled()
+                ? HttpCodec.insideFor(session) : 0;
+    }
+
+    /** Whether a request is whole and on its way from the thread that reads: it is owed its answer. */
+    private boolean hasUnhandled() {
+        return HttpCodec.whole(session) > handedOver;
     }
 
     /** Refuses the request that is not whole, as others need the memory. */
@@ -394,7 +400,7 @@
         long inside = HttpCodec.insideFor(session);
         long rested = server.loop.now() - restingSince;
         long slow = silent ? rested : Math.min(rested, inside);
-        if (phase != Phase.OPEN || slow < server.tuning.longestRequest()) {
+        if (phase != Phase.OPEN || slow < server.tuning.longestRequest() || hasUnhandled()) {
             return;
         }
         if (inside > 0) {
--- a/net/src/main/java/ryemast/net/client/ClientServer.java
+++ b/net/src/main/java/ryemast/net/client/ClientServer.java
@@ -223,7 +223,7 @@
     }
 
     /** Those in the middle of a request for longest go first, as they may have stopped there. */
-    private void shedUnfinished() {
+    void shedUnfinished() {
         open.stream().filter(each -> each.insideFor() > UNDER_WAY)
                 .sorted(Comparator.comparingLong(ClientConnection::insideFor).reversed())
                 .limit(SHED_AT_ONCE).toList().forEach(ClientConnection::shed);
--- a/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
+++ b/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
@@ -45,6 +45,7 @@
     private static final String JOB = "POST /api/k HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: load\r\n"
             + "X-Remaining-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
     private static final int MOST = 50;
+    private static final int LONGER_THAN_UNDER_WAY_MS = 600;
     /** As long as no test wants a connection to be at rest for too long. */
     private static final ClientTuning TUNING = ClientTuning.DEFAULT;
 
@@ -218,6 +219,16 @@
         driven.until(server::isQuiet);
     }
 
+    /** Where memory is short an unfinished request is refused, but not what is owed an answer before it. */
+    @Test
+    void aWholeRequestIsAnsweredThoughTheUnfinishedOneBehindItCouldBeShed() throws Exception {
+        var client = client();
+        send(client, REQUEST + "GET /half");
+        Thread.sleep(LONGER_THAN_UNDER_WAY_MS);
+        server.shedUnfinished();
+        read(client, "HTTP/1.1 404");
+    }
+
     /**
      * The write fails as the client's reset has come and was not seen; what waits for its end would wait for
      * ever.
