Count a round's time from the first accepted connection, and let ReadTurns be tested

Found by reading the code again: the 3 ms of a round began with the connections that the program opened, all of which are read; where those took longer, only one accepted connection had its turn. The time is counted from the first accepted one now, and compared as a difference, as nanosecond clocks may overflow.

Also: a round makes no new collections; how a connection ranks is given to ReadTurns and not its own; the accepted one that has been ready for longest is the first of its round, as documented.

--- a/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
@@ -2,38 +2,53 @@
 
 import java.nio.channels.SelectionKey;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Queue;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
-import org.apache.mina.core.session.IoSession;
-import ryemast.net.http.HttpCodec;
 
 /**
  * In which order ready connections are read, so that whatever a crowd sends, no round is long and nobody
- * waits for the crowd's largest messages. Those that the program opened come first, as jobs in hand wait
- * for them. Those that were accepted take turns for a short while in each round: who has sent whole
- * messages before those who have sent nothing yet, and these before those in the middle of a message;
- * within each rank the one that has been ready for longest. For the one thread that reads.
+ * waits for the crowd's largest messages. Those that the program opened are all read in each round, as jobs
+ * in hand wait for them. Those that were accepted take turns for a short while: first the one that has been
+ * ready for longest of all, so that no rank waits for ever; then by rank, and within a rank in the order in
+ * which they became ready. For the one thread that reads.
  */
 final class ReadTurns {
 
-    /** After so long the rest of the accepted ones wait for the next round, in nanoseconds. */
-    private static final long LONGEST_ROUND = TimeUnit.MILLISECONDS.toNanos(3);
-
     /** In the order in which they are read. */
-    private enum Rank { OPENED, KNOWN, NEW, INSIDE }
+    enum Rank {
+        OPENED,
+        /** Has sent whole messages. */
+        KNOWN,
+        /** Has sent nothing yet. */
+        NEW,
+        /** Is in the middle of a message. */
+        INSIDE
+    }
+
+    /** After so long the rest of the accepted ones wait for the next round, in nanoseconds. */
+    static final long LONGEST_ROUND = TimeUnit.MILLISECONDS.toNanos(3);
 
     private final LongSupplier nanoClock;
+    private final Function<NioSession, Rank> rank;
     /** Accepted connections that are ready, the longest ready first. */
     private final Set<SelectionKey> waiting = new LinkedHashSet<>();
+    /** What is still to come in this round. */
+    private final Map<Rank, Deque<SelectionKey>> round = new EnumMap<>(Rank.class);
 
-    ReadTurns(LongSupplier nanoClock) {
+    ReadTurns(LongSupplier nanoClock, Function<NioSession, Rank> rank) {
         this.nanoClock = nanoClock;
+        this.rank = rank;
+        for (var each : Rank.values()) {
+            round.put(each, new ArrayDeque<>());
+        }
     }
 
     /** Whether connections are ready whose turn did not come in the last round. */
@@ -41,75 +56,74 @@
         return !waiting.isEmpty();
     }
 
+    /** The connections that are ready and whose turn did not come in the last round. */
+    List<NioSession> waiting() {
+        return waiting.isEmpty() ? List.of() : waiting.stream().map(ReadTurns::session).toList();
+    }
+
     /** The connections of one round; each that is taken is to be removed, as MINA does. */
     Iterator<NioSession> round(Set<SelectionKey> selected) {
-        var ranks = new ArrayList<List<SelectionKey>>();
-        for (int i = 0; i < Rank.values().length; i++) {
-            ranks.add(new ArrayList<>());
+        round.values().forEach(Deque::clear);
+        if (!waiting.isEmpty()) {
+            waiting.retainAll(selected);
         }
-        waiting.retainAll(selected);
         for (var key : selected) {
-            if (rank(session(key)) == Rank.OPENED) {
-                ranks.get(0).add(key);
-            } else {
-                waiting.add(key);
+            if (!waiting.contains(key)) {
+                var place = rank.apply(session(key));
+                if (place == Rank.OPENED) {
+                    round.get(place).add(key);
+                } else {
+                    waiting.add(key);
+                }
             }
         }
-        waiting.forEach(key -> ranks.get(rank(session(key)).ordinal()).add(key));
-        var first = new ArrayDeque<>(ranks.get(0));
-        return new Round(first, new ArrayDeque<>(inTurn(ranks.subList(1, ranks.size()))), selected);
-    }
-
-    /** By rank, but for the one that has been ready for longest: no rank waits for ever behind the others. */
-    private Set<SelectionKey> inTurn(List<List<SelectionKey>> ranks) {
-        var turns = new LinkedHashSet<SelectionKey>();
-        waiting.stream().limit(1).forEach(turns::add);
-        ranks.forEach(turns::addAll);
-        return turns;
+        waiting.forEach(key -> round.get(rank.apply(session(key))).add(key));
+        return new Round(selected, hasWaiting() ? waiting.iterator().next() : null);
     }
 
     private static NioSession session(SelectionKey key) {
         return (NioSession) key.attachment();
     }
 
-    private static Rank rank(IoSession session) {
-        if (!(session.getService() instanceof SocketAcceptor)) {
-            return Rank.OPENED;
-        }
-        if (HttpCodec.insideFor(session) > 0) {
-            return Rank.INSIDE;
-        }
-        return HttpCodec.whole(session) > 0 ? Rank.KNOWN : Rank.NEW;
-    }
-
     private final class Round implements Iterator<NioSession> {
-        private final Queue<SelectionKey> first;
-        private final Queue<SelectionKey> others;
         private final Set<SelectionKey> selected;
-        private final long until = nanoClock.getAsLong() + LONGEST_ROUND;
+        /** When the accepted ones' time is over; set as the first one has its turn. */
+        private long until;
+        /** The accepted one that has been ready for longest, until it has had its turn. */
+        private SelectionKey longestReady;
         private SelectionKey current;
-        private boolean othersBegan;
 
-        Round(Queue<SelectionKey> first, Queue<SelectionKey> others, Set<SelectionKey> selected) {
-            this.first = first;
-            this.others = others;
+        Round(Set<SelectionKey> selected, SelectionKey longestReady) {
             this.selected = selected;
+            this.longestReady = longestReady;
         }
 
-        /** One of the others has its turn in each round, however long it takes. */
         @Override
         public boolean hasNext() {
-            return !first.isEmpty()
-                    || !others.isEmpty() && (!othersBegan || nanoClock.getAsLong() < until);
+            return longestReady != null || !round.get(Rank.OPENED).isEmpty()
+                    || isAnyLeft() && nanoClock.getAsLong() - until < 0;
+        }
+
+        private boolean isAnyLeft() {
+            for (var each : round.values()) {
+                if (!each.isEmpty()) {
+                    return true;
+                }
+            }
+            return false;
         }
 
         @Override
         public NioSession next() {
-            if (first.isEmpty()) {
-                othersBegan = true;
-                current = others.remove();
-            } else {
-                current = first.remove();
+            current = round.get(Rank.OPENED).poll();
+            if (current == null && longestReady != null) {
+                until = nanoClock.getAsLong() + LONGEST_ROUND;
+                current = longestReady;
+                longestReady = null;
+                round.values().forEach(each -> each.remove(current));
+            }
+            for (var each = round.values().iterator(); current == null && each.hasNext();) {
+                current = each.next().poll();
             }
             return session(current);
         }
--- a/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
@@ -20,6 +20,7 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
+import ryemast.net.http.HttpCodec;
 
 /**
  * MINA's processor, which takes a read or write that a signal interrupted for the end of the connection
@@ -56,7 +57,7 @@
     /** Connections that have said nothing yet; for the one thread that reads. */
     private final Map<NioSession, Unheard> unheard = new LinkedHashMap<>();
     private final AtomicBoolean woken = new AtomicBoolean();
-    private final ReadTurns turns = new ReadTurns(System::nanoTime);
+    private final ReadTurns turns = new ReadTurns(System::nanoTime, SocketProcessor::rank);
 
     /** Since when a connection is up, in nanoseconds, and how often it was watched anew. */
     private record Unheard(long since, int times) {
@@ -160,6 +161,17 @@
         return turns.round(selector.selectedKeys());
     }
 
+    /** The connections that the program opened first, then those that were accepted. */
+    private static ReadTurns.Rank rank(NioSession session) {
+        if (!(session.getService() instanceof SocketAcceptor)) {
+            return ReadTurns.Rank.OPENED;
+        }
+        if (HttpCodec.insideFor(session) > 0) {
+            return ReadTurns.Rank.INSIDE;
+        }
+        return HttpCodec.whole(session) > 0 ? ReadTurns.Rank.KNOWN : ReadTurns.Rank.NEW;
+    }
+
     @Override
     protected void wakeup() {
         woken.set(true);
