--- a/net/src/main/java/ryemast/net/http/RequestMemory.java
+++ b/net/src/main/java/ryemast/net/http/RequestMemory.java
@@ -28,7 +28,7 @@
     private final long leftFree;
     private final AtomicLong left;
     private final AtomicLong refused = new AtomicLong();
-    private final AtomicBoolean toldFull = new AtomicBoolean();
+    private final AtomicBoolean notifiedFull = new AtomicBoolean();
     private volatile Runnable full = () -> { };
 
     /** {@code bytes}: how much all requests may hold together. */
@@ -47,9 +47,9 @@
         full = step;
     }
 
-    /** Whoever was told that it is full has done what can be done. */
+    /** Whoever was notified that it is full has done what can be done. */
     public void madeRoom() {
-        toldFull.set(false);
+        notifiedFull.set(false);
     }
 
     /** False if there is no room for so many more bytes of an unfinished request. */
@@ -69,7 +69,7 @@
         }
         left.addAndGet(bytes);
         refused.incrementAndGet();
-        if (toldFull.compareAndSet(false, true)) {
+        if (notifiedFull.compareAndSet(false, true)) {
             full.run();
         }
         return false;
