--- a/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
+++ b/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
@@ -45,6 +46,8 @@
     private static final String JOB = "POST /api/k HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: load\r\n"
             + "X-Remaining-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
     private static final int MOST = 50;
+    /** What one read takes in at most, in bytes. */
+    private static final int LARGEST_READ = 4 * 1024;
     private static final int LONGER_THAN_UNDER_WAY_MS = 600;
     /** As long as no test wants a connection to be at rest for too long. */
     private static final ClientTuning TUNING = ClientTuning.DEFAULT;
@@ -313,4 +316,51 @@
         send(client, REQUEST);
         assertTrue(answer(client).startsWith("HTTP/1.1 404"));
     }
+
+    /** Guards other clients against one that sends at full speed: what it sends is read a part in each step. */
+    @Test
+    void oneThatSendsWithoutWaitingIsReadInSteps() throws Exception {
+        var client = client();
+        int sent = 10_000;
+        var writer = new Thread(() -> {
+            try {
+                send(client, REQUEST.repeat(sent));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        long beganAt = System.nanoTime();
+        writer.start();
+        var answers = new AnswerCount(client);
+        driven.until(() -> answers.count() >= sent);
+        writer.join();
+        long leastSteps = (long) sent * REQUEST.length() / LARGEST_READ - 1;
+        long took = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - beganAt);
+        assertTrue(took >= leastSteps * ReadPace.STEP, sent + " requests in " + took + " us");
+    }
+
+    /** How many answers have come so far. */
+    private static final class AnswerCount {
+        private static final String BEGINS = "HTTP/1.1 ";
+
+        private final Socket client;
+        private String rest = "";
+        private int count;
+
+        AnswerCount(Socket client) {
+            this.client = client;
+        }
+
+        int count() throws IOException {
+            var in = client.getInputStream();
+            var text = rest + new String(in.readNBytes(in.available()), StandardCharsets.US_ASCII);
+            int end = 0;
+            for (int at = text.indexOf(BEGINS); at >= 0; at = text.indexOf(BEGINS, end)) {
+                end = at + BEGINS.length();
+                count++;
+            }
+            rest = text.substring(Math.max(end, text.length() - BEGINS.length() + 1));
+            return count;
+        }
+    }
 }
