Hold a job only where much comes behind it, or more may have come than was read

What callers would have seen: a client that doesn't wait for its answers and sends a small request every 20 ms on one connection had its next job refused with 503 after 0.5 s. Any byte behind a job held it for 60 ms, and there was always one.

Cause: what comes in little parts is never held back on the client's side, as every receive window is larger; a close behind it comes with it. Only after much at once may more be waiting there.

Change: RecentBytes, a leaky bucket for each connection (16 KB, 160 KB/s). A job with more behind it waits for 60 ms after the last byte where much came lately, and while a read may have left something. The last is stricter than before: what was left unread for less than 50 ms was passed over.

Evidence: ConnectionEndTest.aJobIsTakenWhereLittleComesBehindItAllTheTime got a 503 without the change. The two tests of a job that waits send 40 KB behind it now in place of nine bytes: what is allowed for nine bytes has changed, see the cause.

--- a/app/src/main/java/ryemast/operator/Key.java
+++ b/app/src/main/java/ryemast/operator/Key.java
@@ -28,7 +28,7 @@
             "Of the connections to us, one in so many is never taken by jobs."),
     NAMES_REMEMBERED("limits.names_remembered", 4096, 256, 1_000_000,
             "fewer let a name come again within seconds, and each takes some 100 bytes",
-            "Job names (X-Txn) taken last that can't be used again; four times as many of jobs that went out."),
+            "Job names (X-Txn) taken last that can't be used again; four times as many of those sent on."),
     GRACE_MS("limits.grace_ms", 20, 0, 10_000, "an answer after that is no use to anyone",
             "How long after its deadline a job may be answered. Only where the platform gives no time."),
 
--- a/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
@@ -94,6 +94,11 @@
         return now - processor.selectedAt < nanosAgo && (unreadSince == null || now - unreadSince < nanosAgo);
     }
 
+    /** Whether more may have come on the connection than was read; for any thread. */
+    public static boolean isLeftUnread(IoSession session) {
+        return session.containsAttribute(UNREAD_SINCE);
+    }
+
     /** Leaves the connection unread for so many nanoseconds; to be called by the thread that reads it. */
     public static void pause(IoSession session, long nanos) {
         if (session.getAttribute(PROCESSOR) instanceof SocketProcessor processor) {
--- a/net/src/main/java/ryemast/net/client/ClientConnection.java
+++ b/net/src/main/java/ryemast/net/client/ClientConnection.java
@@ -39,10 +39,12 @@
     /** A client whose input has not been read to its end for so long may have left, in nanoseconds. */
     private static final long LONGEST_UNREAD = 50_000_000;
     /**
-     * What comes behind a request may have more behind it that waits on the client's side, and its close
+     * Much that comes behind a request may have more behind it that waits on the client's side, and its close
      * behind that: for so long after it, in nanoseconds, as a pause in reading and the way take.
      */
     static final long SENDS_ON = 60_000_000;
+    /** So many bytes at once are never held back on the client's side: any window for receiving is larger. */
+    private static final long SURELY_RECEIVED = 16 * 1024;
 
     /** So long a job waits until its client is known to be there, and from look to look; microseconds. */
     private static final long LONGEST_HELD = 500_000;
@@ -142,7 +144,8 @@
         if (!session.isConnected() || session.isClosing()) {
             return Presence.GONE;
         }
-        boolean sendsOn = HttpCodec.hasMoreThan(session, begun) && HttpCodec.silentFor(session) < SENDS_ON;
+        boolean sendsOn = HttpCodec.hasMoreThan(session, begun) && (SocketProcessor.isLeftUnread(session)
+                || HttpCodec.hasReadMoreThan(session, SURELY_RECEIVED, SENDS_ON));
         return !sendsOn && SocketProcessor.isReadToTheEnd(session, LONGEST_UNREAD) ? Presence.PRESENT
                 : Presence.UNKNOWN;
     }
--- a/net/src/main/java/ryemast/net/http/HttpCodec.java
+++ b/net/src/main/java/ryemast/net/http/HttpCodec.java
@@ -121,7 +121,7 @@
 
     /**
      * Whether more has come on this connection than so many messages, in part or not to be understood as it
-     * may be; see {@link #silentFor} for when.
+     * may be; see {@link #hasReadMoreThan} for when.
      */
     public static boolean hasMoreThan(IoSession session, long messages) {
         var reading = (Reading) session.getAttribute(STATE);
@@ -129,9 +129,10 @@
                 && (reading.whole > messages || reading.insideSince != 0 || reading.failed);
     }
 
-    /** For how many nanoseconds nothing has been read on this connection, on which something was. */
-    public static long silentFor(IoSession session) {
-        return System.nanoTime() - ((Reading) session.getAttribute(STATE)).lastReadAt;
+    /** Whether more than so many bytes have come lately, the last of them within so many nanoseconds. */
+    public static boolean hasReadMoreThan(IoSession session, long bytes, long within) {
+        var reading = (Reading) session.getAttribute(STATE);
+        return reading != null && reading.recent.isMoreThan(System.nanoTime(), bytes, within);
     }
 
     /** What still comes on this connection is not understood any more; for one that something came on. */
@@ -166,8 +167,7 @@
         private volatile long insideSince;
         /** Written by the one thread that reads. */
         private volatile long whole;
-        /** When something was read last, in nanoseconds. */
-        private volatile long lastReadAt;
+        private final RecentBytes recent = new RecentBytes(System.nanoTime());
 
         Reading(IoSession session) {
             this.session = session;
@@ -238,7 +238,7 @@
         @Override
         public void decode(IoSession session, IoBuffer in, ProtocolDecoderOutput out) {
             var reading = reading(session, out);
-            reading.lastReadAt = System.nanoTime();
+            reading.recent.add(System.nanoTime(), in.remaining());
             synchronized (reading) {
                 if (reading.failed) {
                     drop(in, reading, out);
