Judge a soak's new connection by the process it was opened to

Cause: the system goes on taking connections for a process that is being killed. The soak's client noted which process it speaks to only after it had connected; where the kill was over in between, it held the new process, or none, to account for a connection of the dead one. A fault of the test, not of the program.

Change: a new connection belongs to the process that ran as it was opened. One that is opened to a living process is judged as before, by the same bounds.

--- a/app/src/test/java/ryemast/it/SoakClient.java
+++ b/app/src/test/java/ryemast/it/SoakClient.java
@@ -50,6 +50,8 @@
     private final Random random;
     private Wire wire;
     private boolean fresh;
+    /** The process that ran as the connection was opened. */
+    private int connectedTo;
 
     SoakClient(Shared shared, SoakSettings settings, long seed) {
         this.shared = shared;
@@ -101,6 +103,8 @@
             throw new ConnectException("the front gives no new connections");
         }
         if (fresh) {
+            // The system still takes connections for a process that is being killed.
+            connectedTo = shared.process;
             wire = Wire.to(shared.address.get());
         }
     }
@@ -121,7 +125,7 @@
     /** False if the connection ended as the request was written to it, which is to be sent once more. */
     private boolean exchange(String txn, SoakSettings.Lane lane, long remaining)
             throws IOException, InterruptedException {
-        int process = shared.process;
+        int process = fresh ? connectedTo : shared.process;
         long sentAt = System.nanoTime();
         long tolerated = shared.lag.lately();
         wire.patience((int) (remaining + LATE_MS + tolerated));
