--- a/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
@@ -77,8 +77,10 @@
                 }
             }
         }
-        waiting.forEach(key -> round.get(rank.apply(session(key))).add(key));
-        return new Round(selected, hasWaiting() ? waiting.iterator().next() : null);
+        var others = waiting.iterator();
+        var longestReady = others.hasNext() ? others.next() : null;
+        others.forEachRemaining(key -> round.get(rank.apply(session(key))).add(key));
+        return new Round(selected, longestReady);
     }
 
     private static NioSession session(SelectionKey key) {
@@ -120,7 +122,6 @@
                 until = nanoClock.getAsLong() + LONGEST_ROUND;
                 current = longestReady;
                 longestReady = null;
-                round.values().forEach(each -> each.remove(current));
             }
             for (var each = round.values().iterator(); current == null && each.hasNext();) {
                 current = each.next().poll();
--- a/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
+++ b/net/src/test/java/ryemast/net/client/ConnectionEndTest.java
@@ -45,9 +45,11 @@
     private static final String REQUEST = "GET /nowhere HTTP/1.1\r\n\r\n";
     private static final String JOB = "POST /api/k HTTP/1.1\r\nX-Txn: %s\r\nX-Lane: load\r\n"
             + "X-Remaining-Ms: 5000\r\nContent-Length: 0\r\n\r\n";
+    private static final int LARGE_BODY = 60_000;
+    private static final String LARGE_HEAD =
+            "POST /api/k HTTP/1.1\r\nContent-Length: " + LARGE_BODY + "\r\n\r\n";
     /** An unfinished request, larger than what surely came with all that stood behind it. */
-    private static final String MUCH = "POST /api/k HTTP/1.1\r\nContent-Length: 60000\r\n\r\n"
-            + "x".repeat(40_000);
+    private static final String MUCH = LARGE_HEAD + "x".repeat(40_000);
     private static final int MOST = 50;
     /** What one read takes in at most, in bytes. */
     private static final int LARGEST_READ = 4 * 1024;
@@ -115,6 +117,19 @@
         client.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
     }
 
+    /** The thread that sends the text, however long that takes. */
+    private static Thread sending(Socket client, String text) {
+        var writer = new Thread(() -> {
+            try {
+                send(client, text);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        writer.start();
+        return writer;
+    }
+
     /** Reads one answer, which begins like this. */
     private void read(Socket client, String begins) throws Exception {
         var text = new StringBuilder();
@@ -269,6 +284,33 @@
         writer.join();
     }
 
+    /** Its client's close would not be seen in time, so nothing is sent for it. */
+    @Test
+    void aJobOfAClientThatSendsOnWithoutEndIsRefused() throws Exception {
+        var client = client();
+        events.clear();
+        var writer = new Thread(() -> {
+            try {
+                send(client, String.format(JOB, "one") + LARGE_HEAD + "x".repeat(LARGE_BODY));
+                while (true) {
+                    send(client, LARGE_HEAD);
+                    for (int sent = 0; sent < LARGE_BODY; sent += 1_000) {
+                        send(client, "x".repeat(1_000));
+                        Thread.sleep(1);
+                    }
+                }
+            } catch (IOException | InterruptedException e) {
+                // The test is over.
+            }
+        });
+        writer.start();
+        passUntil(() -> client.getInputStream().available() > 0);
+        read(client, "HTTP/1.1 503");
+        assertEquals(List.of(), events);
+        writer.interrupt();
+        writer.join();
+    }
+
     @Test
     void aJobOfAClientThatSendsOnAndLeavesIsNotTaken() throws Exception {
         var client = client();
@@ -326,14 +368,7 @@
     void oneThatSendsThousandsAtOnceIsAnsweredThousandsOfTimes() throws Exception {
         var client = client();
         int sent = 3_000;
-        var writer = new Thread(() -> {
-            try {
-                send(client, REQUEST.repeat(sent));
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        writer.start();
+        var writer = sending(client, REQUEST.repeat(sent));
         for (int i = 0; i < sent; i++) {
             var answer = answer(client);
             assertTrue(answer.matches("(?s)HTTP/1.1 (404|503).*"), answer);
@@ -348,15 +383,8 @@
     void oneThatSendsWithoutWaitingIsReadInSteps() throws Exception {
         var client = client();
         int sent = 10_000;
-        var writer = new Thread(() -> {
-            try {
-                send(client, REQUEST.repeat(sent));
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
         long beganAt = System.nanoTime();
-        writer.start();
+        var writer = sending(client, REQUEST.repeat(sent));
         var answers = new AnswerCount(client);
         driven.until(() -> answers.count() >= sent);
         writer.join();
