Tell a watch of the tests' discovery its whole list before any change

The program's log of the last one: 'list 42, CHANGES: 1 ready, gone [s-1]', and 19 ms later 'list 41, COMPLETE: 2 ready': the program followed what it was told, and went on using s-1.

Cause: the test's discovery made the first list of a new watch and wrote it a moment later, while the test had told all connections of the change meanwhile; the older whole list came after the newer change.

Change: the first list is made and written as one step, and changes are told to those connections alone that have had it. A test begins once the first list was told; before, once it was asked for.

--- a/app/src/test/java/ryemast/it/Platform.java
+++ b/app/src/test/java/ryemast/it/Platform.java
@@ -14,7 +14,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -44,6 +46,8 @@
     private final Program packaged = new Program();
     final Queue<String> log = packaged.log;
     private final Map<String, String> environment;
+    /** Connections that were told the whole list: what changes is told to them, and to no others. */
+    private final Set<Wire> watches = ConcurrentHashMap.newKeySet();
     /** Processes that share the program's core. */
     private final List<Process> busy = new ArrayList<>();
     private final Path folder = Files.createTempDirectory("ryemast-it");
@@ -128,7 +132,7 @@
         program = start(config);
         until(() -> packaged.address() != null);
         until(() -> health().equals("200"));
-        until(() -> discovery.count("GET") > 0);
+        until(() -> !watches.isEmpty());
     }
 
     /** Kills the program outright and starts it anew at the same address, where it knows nothing. */
@@ -209,7 +213,10 @@
             return;
         }
         wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-        tell(wire, table(41, true));
+        synchronized (Platform.class) {
+            tell(wire, table(41, true));
+            watches.add(wire);
+        }
         while (true) {
             Thread.sleep(500);
             if (!tableMute) {
@@ -222,10 +229,15 @@
         wire.send(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
     }
 
-    /** Tells all watches that the states are now these, for the first and the second worker. */
+    /**
+     * Tells all watches that the states are now these, for the first and the second worker. A watch that is
+     * only being opened is told so by its first list, as no list may follow a newer one.
+     */
     void list(String newStates) throws IOException {
-        states = newStates;
-        broadcast(table(42, false));
+        synchronized (Platform.class) {
+            states = newStates;
+            broadcast(table(42, false));
+        }
     }
 
     /** Hands in jobs, all of them served, until none of ten goes to the first worker. */
@@ -260,6 +272,9 @@
     /** A line on every watch that is still open. */
     void broadcast(String line) throws IOException {
         for (var wire : discovery.wires) {
+            if (!watches.contains(wire)) {
+                continue;
+            }
             try {
                 tell(wire, line);
             } catch (SocketException e) {
