Bound what answers hold in memory that nobody reads, over all connections

What callers saw: the process ended with 3, out of heap; all that it had taken and not answered was lost.

Cause: an answer stays in memory until the system takes it in. A connection had a bound, 128 KB and one result, hundreds together had none; and each was held twice, as MINA keeps the message beside its bytes until these have left. Seen: a class histogram shortly before the end, 69 MB of byte arrays of a heap of 80 MB. Ruled out: requests (their bound holds, CrowdMemoryIT), collections (0.3 s in all).

Change: answers are counted in the memory that requests are counted in (MessageMemory). Beyond a sixth of it connections whose answers wait begin nothing more, and clients that have read nothing for 0.5 s are ended, the longest first; beyond twice that, those that have read nothing for longest, however long. A client that reads loses nothing by it. Answers are written as bytes, once. The line on clients counts those ended.

--- a/net/src/main/java/ryemast/net/client/ClientConnection.java
+++ b/net/src/main/java/ryemast/net/client/ClientConnection.java
@@ -5,9 +5,9 @@
 import java.util.Locale;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.SocketAccess;
-import org.apache.mina.transport.socket.nio.SocketProcessor;
 import ryemast.core.Note;
 import ryemast.core.Submission;
 import ryemast.core.Terminal;
@@ -36,24 +36,10 @@
     /** How long a client may take to read some of what is written to it, in microseconds. */
     private static final long LONGEST_WRITE = 60_000_000;
 
-    /** A client whose input has not been read to its end for so long may have left, in nanoseconds. */
-    private static final long LONGEST_UNREAD = 50_000_000;
-    /**
-     * Much that comes behind a request may have more behind it that waits on the client's side, and its close
-     * behind that: for so long after it, in nanoseconds, as a pause in reading and the way take.
-     */
-    static final long SENDS_ON = 60_000_000;
-    /** So many bytes at once are never held back on the client's side: any window for receiving is larger. */
-    private static final long SURELY_RECEIVED = 16 * 1024;
-
     /** So long a job waits until its client is known to be there, and from look to look; microseconds. */
     private static final long LONGEST_HELD = 500_000;
     private static final long HELD_AGAIN = 5_000;
 
-    /** So many answers may wait to be written; more would fill the memory where nobody reads them. */
-    private static final int MOST_UNWRITTEN = 256;
-    /** The same in bytes, as a result may be large. */
-    private static final long MOST_UNWRITTEN_BYTES = 128 * 1024;
     private static final String NAME_USED = "header X-Txn: this one was used before";
 
     private enum Phase {
@@ -74,9 +60,7 @@
     /** The request that is served; null for none. */
     private Object served;
     private boolean asksToClose;
-    /** Answers that have not left yet, and when that was last none or one did. */
-    private int unwritten;
-    private long wroteAt;
+    private final UnwrittenAnswers unwritten;
     /** Set on the loop before the mark is written, read where it is reached. */
     private volatile HttpCodec.Mark endMark;
     private volatile long endsAfter;
@@ -95,6 +79,7 @@
         this.server = server;
         this.session = session;
         waiting = new PipelinedRequests(server.pipelined);
+        unwritten = new UnwrittenAnswers(server.unwritten);
         restingSince = server.loop.now();
     }
 
@@ -138,16 +123,9 @@
         }
     }
 
-    /** Its close may stand behind what was not read yet, or what has not come yet. */
     @Override
     public Presence presence() {
-        if (!session.isConnected() || session.isClosing()) {
-            return Presence.GONE;
-        }
-        boolean sendsOn = HttpCodec.hasMoreThan(session, begun) && (SocketProcessor.isLeftUnread(session)
-                || HttpCodec.hasReadMoreThan(session, SURELY_RECEIVED, SENDS_ON));
-        return !sendsOn && SocketProcessor.isReadToTheEnd(session, LONGEST_UNREAD) ? Presence.PRESENT
-                : Presence.UNKNOWN;
+        return ClientPresence.of(session, begun);
     }
 
     /** The client sends without end: the request that is served ends, too. */
@@ -164,8 +142,7 @@
 
     /** Nothing is taken while too many answers wait for the client to read the ones before. */
     private boolean mayBegin() {
-        return phase == Phase.OPEN && !busy && unwritten < MOST_UNWRITTEN
-                && session.getScheduledWriteBytes() < MOST_UNWRITTEN_BYTES;
+        return phase == Phase.OPEN && !busy && !unwritten.isFull();
     }
 
     /** The turn of the first that waits; nothing does any more if the connection has ended meanwhile. */
@@ -348,19 +325,19 @@
         }
     }
 
+    /** Written as bytes, as the message itself would be held beside them until they have left. */
     private void write(HttpMessage message) {
-        wroteAt = unwritten == 0 ? server.loop.now() : wroteAt;
-        unwritten++;
-        server.wrote(1);
-        session.write(message).addListener(future -> server.loop.post(this::written));
+        var bytes = HttpCodec.bytes(message);
+        unwritten.add(bytes.length, session.getWrittenBytes(), server.loop.now());
+        session.write(IoBuffer.wrap(bytes))
+                .addListener(future -> server.loop.post(() -> written(bytes.length)));
+        server.endUnread();
     }
 
     /** Not to be counted where the connection is gone: what had not left by then never will. */
-    private void written() {
+    private void written(int length) {
         if (phase != Phase.GONE) {
-            unwritten--;
-            wroteAt = server.loop.now();
-            server.wrote(-1);
+            unwritten.left(length, server.loop.now());
             next();
         }
     }
@@ -401,11 +378,25 @@
 
     /** Guards the sockets against clients that do not read what is written to them. */
     void checkWriting() {
-        if (unwritten > 0 && server.loop.now() - wroteAt > LONGEST_WRITE) {
+        unwritten.look(session.getWrittenBytes(), server.loop.now());
+        if (unreadFor() > LONGEST_WRITE) {
             session.closeNow();
         }
     }
 
+    /** For how long the client has read none of the answers that wait for it, in microseconds. */
+    long unreadFor() {
+        return unwritten.stuckFor(server.loop.now());
+    }
+
+    /** Ends the connection with the answers that its client does not read; how many bytes they held. */
+    long endUnread() {
+        long held = unwritten.bytes();
+        session.closeNow();
+        ended();
+        return held;
+    }
+
     /** Guards the sockets against clients that say nothing, or never end; for one between two requests. */
     void checkPace() {
         long inside = HttpCodec.insideFor(session);
@@ -481,8 +472,7 @@
     @Override
     public void ended() {
         server.ended(this);
-        server.wrote(-unwritten);
-        unwritten = 0;
+        unwritten.clear();
         phase = Phase.GONE;
         releaseServed();
         waiting.clear();
--- a/net/src/main/java/ryemast/net/client/ClientServer.java
+++ b/net/src/main/java/ryemast/net/client/ClientServer.java
@@ -29,7 +29,7 @@
 import ryemast.net.LinkHandler;
 import ryemast.net.Transport;
 import ryemast.net.http.HttpCodec;
-import ryemast.net.http.RequestMemory;
+import ryemast.net.http.MessageMemory;
 
 /** The address that clients and the workers' call-backs come to, and the connections made to it. */
 public final class ClientServer {
@@ -47,8 +47,8 @@
     private static final AttributeKey PACE = new AttributeKey(ClientServer.class, "pace");
     private static final Logger LOG = Logger.getLogger(ClientServer.class.getName());
     /**
-     * For so long a request that is read in part keeps its connection where room is short, in microseconds;
-     * a crowd that never ends its requests must not keep call-backs out for longer.
+     * For so long a client that sends none of the rest of its request, or reads none of its answers, keeps
+     * its connection where room is short, in microseconds: a crowd must not keep call-backs out for longer.
      */
     private static final long UNDER_WAY = 500_000;
     /** So many unfinished requests are refused at once where memory is short. */
@@ -58,8 +58,9 @@
     final Exchange exchange;
     final JobReader jobs;
     final ClientTuning tuning;
-    final RequestMemory memory = RequestMemory.ofHeap();
+    final MessageMemory memory = MessageMemory.ofHeap();
     final PipelinedRequests.Budget pipelined = new PipelinedRequests.Budget(memory);
+    final UnwrittenAnswers.Budget unwritten = new UnwrittenAnswers.Budget(memory);
     final ClientCounts counts;
     private final SocketAcceptor acceptor;
     private final int most;
@@ -72,7 +73,8 @@
     private final Set<ClientConnection> open = new LinkedHashSet<>();
     /** Those of the open ones that end as soon as what was written has left. */
     private final Set<ClientConnection> leaving = new HashSet<>();
-    private int writing;
+    /** Clients that read nothing are to be looked for in a later step of the loop. */
+    private boolean endsUnread;
     private boolean ready;
     private boolean draining;
     private boolean refusing;
@@ -127,7 +129,7 @@
 
     /** Whether nothing is half taken or half answered, and nobody has come who is not known here yet. */
     public boolean isQuiet() {
-        return writing == 0 && open.isEmpty() && accepted.isEmpty();
+        return unwritten.isEmpty() && open.isEmpty() && accepted.isEmpty();
     }
 
     /** Ends the connections that have been between two requests for so long, in microseconds. */
@@ -183,14 +185,11 @@
         leaving.remove(connection);
     }
 
-    void wrote(int begun) {
-        writing += begun;
-    }
-
     private void sweep() {
         closeResting(tuning.idleLimit());
         betweenRequests().forEach(ClientConnection::checkPace);
         open.forEach(ClientConnection::checkWriting);
+        endUnread();
         accepted.removeIf(session -> !SocketAccess.isOpen(session));
         loop.at(loop.now() + SWEEP, this::sweep);
     }
@@ -230,6 +229,28 @@
         memory.madeRoom();
     }
 
+    /** Has clients ended that read none of their answers, where all answers hold too much together. */
+    void endUnread() {
+        if (unwritten.isOver() && !endsUnread) {
+            endsUnread = true;
+            loop.post(this::endLongestUnread);
+        }
+    }
+
+    /** Those that have read nothing for longest go first, until the others' answers are within the bound. */
+    private void endLongestUnread() {
+        endsUnread = false;
+        long least = unwritten.isFarOver() ? 0 : UNDER_WAY;
+        var unread = open.stream().filter(each -> each.unreadFor() > least)
+                .sorted(Comparator.comparingLong(ClientConnection::unreadFor).reversed()).toList();
+        for (var each : unread) {
+            if (!unwritten.isOver()) {
+                return;
+            }
+            counts.unread(each.endUnread());
+        }
+    }
+
     /** Guards the limit on sockets: beyond it, connections wait in the kernel's queue until one ends. */
     private final class Acceptor extends SocketAcceptor {
         private final IoProcessor<NioSession> processor;
--- a/net/src/main/java/ryemast/net/client/PipelinedRequests.java
+++ b/net/src/main/java/ryemast/net/client/PipelinedRequests.java
@@ -4,7 +4,7 @@
 import java.util.Deque;
 import ryemast.net.http.HttpCodec;
 import ryemast.net.http.HttpMessage;
-import ryemast.net.http.RequestMemory;
+import ryemast.net.http.MessageMemory;
 
 /**
  * What has come on one connection behind the request that is being served, in order.
@@ -33,11 +33,11 @@
         /** A tenth of the memory that the program may have. */
         static final int ALL = 8 * 1024 * 1024;
 
-        private final RequestMemory memory;
+        private final MessageMemory memory;
         private long left = ALL;
 
         /** {@code memory}: where requests that are not kept are released. */
-        Budget(RequestMemory memory) {
+        Budget(MessageMemory memory) {
             this.memory = memory;
         }
 
@@ -81,7 +81,7 @@
             counted++;
         } else if (!(message instanceof HttpMessage request)) {
             fault = new Arrival(message, at);
-        } else if (counted == 0 && keeps(RequestMemory.size(request))) {
+        } else if (counted == 0 && keeps(MessageMemory.size(request))) {
             kept.add(new Arrival(request, at));
         } else {
             budget.memory.release(request);
@@ -100,7 +100,7 @@
     Arrival next() {
         if (!kept.isEmpty()) {
             var next = kept.poll();
-            int size = RequestMemory.size((HttpMessage) next.message);
+            int size = MessageMemory.size((HttpMessage) next.message);
             bytes -= size;
             budget.give(size);
             return next;
--- a/net/src/main/java/ryemast/net/http/HttpCodec.java
+++ b/net/src/main/java/ryemast/net/http/HttpCodec.java
@@ -58,15 +58,15 @@
 
     private final Form form;
     private final long maxBody;
-    private final RequestMemory memory;
+    private final MessageMemory memory;
     /** The names of the headers that are kept; null for all. */
     private final Set<String> kept;
 
     private HttpCodec(Form form, long maxBody) {
-        this(form, maxBody, RequestMemory.UNBOUNDED, null);
+        this(form, maxBody, MessageMemory.UNBOUNDED, null);
     }
 
-    private HttpCodec(Form form, long maxBody, RequestMemory memory, Set<String> kept) {
+    private HttpCodec(Form form, long maxBody, MessageMemory memory, Set<String> kept) {
         this.form = form;
         this.maxBody = maxBody;
         this.memory = memory;
@@ -86,7 +86,7 @@
      * Requests of many who may mean ill. Each message that is handed over is counted against the memory, and
      * to be released there; of its headers only these are kept, by their names in lower case.
      */
-    public static HttpCodec requests(RequestMemory memory, Set<String> headers) {
+    public static HttpCodec requests(MessageMemory memory, Set<String> headers) {
         var kept = new HashSet<>(headers);
         kept.addAll(FRAMING);
         return new HttpCodec(Form.REQUESTS, MAX_BODY, memory, kept);
--- a/net/src/main/java/ryemast/net/http/RequestMemory.java
+++ b/net/src/main/java/ryemast/net/http/MessageMemory.java
@@ -5,20 +5,21 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Bounds what the requests of all connections keep in memory together: those that have come in part, and
- * whole ones until whoever took them releases them. A connection is bounded by the largest request, but
- * hundreds of connections are not.
+ * Bounds what the messages of all connections keep in memory together: requests that have come in part, whole
+ * ones until whoever took them releases them, and answers until they are written. A connection is bounded by
+ * the largest request, but hundreds of connections are not.
  *
  * <p>Unfinished requests leave a part free, so that small whole ones get through while a crowd holds the
- * rest. Safe for many threads.
+ * rest. An answer always has room, as its client is owed it: what answers take, requests don't get. Safe for
+ * many threads.
  */
-public final class RequestMemory {
+public final class MessageMemory {
 
     /** For those who bound their peers otherwise. */
-    public static final RequestMemory UNBOUNDED = new RequestMemory(Long.MAX_VALUE / 2);
+    public static final MessageMemory UNBOUNDED = new MessageMemory(Long.MAX_VALUE / 2);
 
     /** What a message costs in memory beside its texts, in bytes. */
-    private static final int EACH = 512;
+    public static final int EACH = 512;
     /** Of the Java heap, in percent: the rest is the program's own, and what the collector needs. */
     private static final int HEAP_PERCENT = 55;
     private static final int ALL_PERCENT = 100;
@@ -31,15 +32,15 @@
     private final AtomicBoolean notifiedFull = new AtomicBoolean();
     private volatile Runnable full = () -> { };
 
-    /** {@code bytes}: how much all requests may hold together. */
-    public RequestMemory(long bytes) {
+    /** {@code bytes}: how much all messages may hold together. */
+    public MessageMemory(long bytes) {
         left = new AtomicLong(bytes);
         leftFree = bytes / WHOLE_SHARE;
     }
 
     /** As much as the program's heap allows. */
-    public static RequestMemory ofHeap() {
-        return new RequestMemory(Runtime.getRuntime().maxMemory() / ALL_PERCENT * HEAP_PERCENT);
+    public static MessageMemory ofHeap() {
+        return new MessageMemory(Runtime.getRuntime().maxMemory() / ALL_PERCENT * HEAP_PERCENT);
     }
 
     /** Runs {@code step} when something was refused for want of room; once until {@link #madeRoom}. */
@@ -86,7 +87,17 @@
         }
     }
 
-    /** How many bytes are left. */
+    /** An answer is held from here on, so many bytes; to be released. */
+    public void holdAnswer(long bytes) {
+        left.addAndGet(-bytes);
+    }
+
+    /** An answer of so many bytes is not held any more. */
+    public void releaseAnswer(long bytes) {
+        left.addAndGet(bytes);
+    }
+
+    /** How many bytes are left; fewer than none where answers hold more than was free. */
     public long left() {
         return left.get();
     }
