Keep of a worker's answer what is read of it: its status and two kinds of headers

Nothing reads them: a result comes by a call.

Change: of these answers only the headers that are read are kept, and bodies are read and dropped.

--- a/net/src/main/java/ryemast/net/http/HttpCodec.java
+++ b/net/src/main/java/ryemast/net/http/HttpCodec.java
@@ -47,7 +47,7 @@
     /** The most that the platform lets a body hold. */
     private static final int MAX_BODY = 64 * 1024;
 
-    private enum Form { REQUESTS, RESPONSES, STREAM }
+    private enum Form { REQUESTS, RESPONSES, RESPONSE_HEADS, STREAM }
 
     /** What is read and dropped behind an error, so that no reset eats the answer; the peer may send more. */
     private static final int MOST_DROPPED = 256 * 1024;
@@ -87,9 +87,13 @@
      * to be released there; of its headers only these are kept, by their names in lower case.
      */
     public static HttpCodec requests(MessageMemory memory, Set<String> headers) {
+        return new HttpCodec(Form.REQUESTS, MAX_BODY, memory, withFraming(headers));
+    }
+
+    private static Set<String> withFraming(Set<String> headers) {
         var kept = new HashSet<>(headers);
         kept.addAll(FRAMING);
-        return new HttpCodec(Form.REQUESTS, MAX_BODY, memory, kept);
+        return kept;
     }
 
     public static HttpCodec responses() {
@@ -101,6 +105,14 @@
         return new HttpCodec(Form.RESPONSES, maxBody);
     }
 
+    /**
+     * Responses of which only these headers are wanted, by their names in lower case: the others are not kept,
+     * and their bodies are read and dropped.
+     */
+    public static HttpCodec responseHeads(Set<String> headers) {
+        return new HttpCodec(Form.RESPONSE_HEADS, MAX_BODY, MessageMemory.UNBOUNDED, withFraming(headers));
+    }
+
     /** Responses whose bodies have no end. */
     public static HttpCodec stream() {
         return new HttpCodec(Form.STREAM, Long.MAX_VALUE);
@@ -189,7 +201,7 @@
         public void body(byte[] part) throws HttpException {
             if (form == Form.STREAM) {
                 out.write(part);
-            } else {
+            } else if (form != Form.RESPONSE_HEADS) {
                 body.add(part);
                 charge();
             }
--- a/net/src/main/java/ryemast/net/worker/Call.java
+++ b/net/src/main/java/ryemast/net/worker/Call.java
@@ -1,5 +1,6 @@
 package ryemast.net.worker;
 
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.logging.Logger;
@@ -16,6 +17,9 @@
 
     private static final Logger LOG = Logger.getLogger(Call.class.getName());
     private static final int ERROR = 500;
+    private static final String TURNED_AWAY = "x-turned-away";
+    /** The headers of an answer that are read, in lower case. */
+    static final Set<String> HEADERS = Set.of(TURNED_AWAY);
 
     private final Supplier<HttpMessage> message;
     private final Exchange exchange;
@@ -125,7 +129,7 @@
             heard.accept(Outcomes.ofCancelAnswer(status));
             return;
         }
-        boolean turnedAway = (status == 503 || status == 504) && "1".equals(head.header("x-turned-away"));
+        boolean turnedAway = (status == 503 || status == 504) && "1".equals(head.header(TURNED_AWAY));
         if (status == Outcomes.TAKEN) {
             exchange.accepted(task);
             return;
--- a/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -83,8 +83,9 @@
         this.restLimit = new RestLimit(connIdle, tuning);
         this.most = most;
         this.tuning = tuning;
-        dialer = new Dialer(loop, transport.connector(HttpCodec.responses(), new AnswerHandler(loop)),
-                connectLimit);
+        // What a worker answers beside its status, hundreds of connections would keep in memory.
+        var codec = HttpCodec.responseHeads(Call.HEADERS);
+        dialer = new Dialer(loop, transport.connector(codec, new AnswerHandler(loop)), connectLimit);
     }
 
     @Override
