Let the soak play hostile clients: crowds, departures, floods, and clients that read nothing

The soak played none of the incident's pictures beside its other troubles.

Attempts that wait as their client may have left are logged now, with how long and what came of it.

--- a/app/src/test/java/ryemast/it/SoakRun.java
+++ b/app/src/test/java/ryemast/it/SoakRun.java
@@ -82,6 +82,7 @@
     private final List<SoakClient> clients = new ArrayList<>();
     private final List<Wire> crowd = new ArrayList<>();
     private final SoakClient.Shared shared;
+    private final SoakHostileClients hostile;
     private final List<String> story = new ArrayList<>();
     private Process process;
     private int drained;
@@ -94,6 +95,7 @@
         rules = new SoakRules(settings.secondCopies(), lag);
         shared = new SoakClient.Shared(rules, lag, program::address, settings.crowd() > 0);
         faults.seed(seed);
+        hostile = new SoakHostileClients(shared, settings, faults, seed);
         for (int i = 0; i < WORKERS; i++) {
             var id = "s-" + i;
             var worker = new SoakWorker(id, rules, this::callBack, () -> discovery.notifiedAt(id),
@@ -110,6 +112,8 @@
     List<String> play() throws Exception {
         start();
         clients.forEach(Thread::start);
+        tell("hostile clients: " + hostile.kind());
+        hostile.start();
         for (int i = 0; i < settings.crowd(); i++) {
             crowd.add(Wire.to(program.address()));
         }
@@ -123,6 +127,7 @@
         for (var each : clients) {
             each.join();
         }
+        hostile.interrupt();
         return List.copyOf(rules.breaches());
     }
 
--- a/app/src/test/java/ryemast/it/SoakWorker.java
+++ b/app/src/test/java/ryemast/it/SoakWorker.java
@@ -17,6 +17,7 @@
     private static final int RUN_MS = 60;
     private static final int LATEST_SECOND_ANSWER_MS = 12;
     private static final int MOST_CALLS = 10;
+    private static final String LARGE_RESULT = "r".repeat(50_000);
 
     /** Calls a worker's events in at the dispatcher; false if it did not answer. */
     interface CallBacks {
@@ -134,6 +135,10 @@
         }
     }
 
+    private static String result(String txn) {
+        return txn.startsWith(SoakHostileClients.LARGE_RESULT_PREFIX) ? LARGE_RESULT : "result of " + txn;
+    }
+
     /** Tells of the job's state after so many milliseconds, again and again until it is heard. */
     private void later(String txn, String state, int millis) {
         int taker = process;
@@ -145,7 +150,7 @@
                 rules.ended(id, txn, SoakRules.End.ENDED);
             }
             var body = "{\"id\":\"" + txn + "\",\"from\":\"" + id + "\",\"state\":\"" + state + "\""
-                    + (state.equals("done") ? ",\"result\":\"result of " + txn + "\"" : "") + "}";
+                    + (state.equals("done") ? ",\"result\":\"" + result(txn) + "\"" : "") + "}";
             for (int i = 0; i < MOST_CALLS && !callBacks.call(body); i++) {
                 Thread.onSpinWait();
             }
--- a/net/src/main/java/ryemast/net/worker/Call.java
+++ b/net/src/main/java/ryemast/net/worker/Call.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 import pipitladder.Dispatcher.Outcome;
+import ryemast.core.Clock;
 import ryemast.core.Exchange;
 import ryemast.core.Note;
 import ryemast.core.Recalled;
@@ -17,6 +18,7 @@
 
     private static final Logger LOG = Logger.getLogger(Call.class.getName());
     private static final int ERROR = 500;
+    private static final long NOT_HELD = Long.MIN_VALUE;
     private static final String TURNED_AWAY = "x-turned-away";
     /** The headers of an answer that are read, in lower case. */
     static final Set<String> HEADERS = Set.of(TURNED_AWAY);
@@ -29,6 +31,8 @@
     private final Consumer<Recalled> heard;
     private final boolean mindsAnswers;
     private boolean begun;
+    /** Since when it waits as its client may have left, on the loop's clock; {@link #NOT_HELD} for not. */
+    private long heldSince = NOT_HELD;
 
     /** {@code message}: made once, when it is written. */
     Call(Exchange exchange, RoutedTask task, Supplier<HttpMessage> message, long startedAt) {
@@ -69,6 +73,21 @@
         return task != null && exchange.mayBeginLater(task);
     }
 
+    /** It waits from here on, if it doesn't yet, as its client may have left. */
+    void hold(long now) {
+        heldSince = heldSince == NOT_HELD ? now : heldSince;
+    }
+
+    /** Says how long it waited for its client, if it did, and whether it goes out now. */
+    void logHeld(long now, boolean goesOut) {
+        if (heldSince != NOT_HELD) {
+            Note.info(LOG, "{txn}: its attempt at {worker} waited {held_ms} ms as its client may have left,"
+                    + " and {next}", "txn", txn(), "worker", worker(),
+                    "held_ms", (now - heldSince) / Clock.MICROS_PER_MS,
+                    "next", goesOut ? "goes out" : "does not go out");
+        }
+    }
+
     /** It must not be written any more: the attempt never reached the worker. */
     void neverBegan() {
         exchange.ended(task, Outcome.NOT_SENT);
--- a/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
+++ b/net/src/main/java/ryemast/net/worker/WorkerConnectionPool.java
@@ -290,11 +290,14 @@
             call = next;
             restBefore = idleSince == 0 ? -1 : rested(this);
             if (next.mayBegin()) {
+                next.logHeld(loop.now(), true);
                 write(next);
             } else if (next.mayBeginLater()) {
+                next.hold(loop.now());
                 loop.at(loop.now() + BEGIN_AGAIN, () -> carryHeld(next));
             } else {
                 rest();
+                next.logHeld(loop.now(), false);
                 next.neverBegan();
             }
         }
