Let connections that no selection has found take turns with the others, and keep one list of them

Cause: what was read whatever the selection finds came before all else in a round, and without the 3 ms that bound one, so that hundreds of fast clients whose pauses end together kept workers' answers waiting; and 'has said nothing' and 'no selection has found it' were two lists of nearly the same connections.

Change: ReadTurns places them by rank among the others, within the bound. A connection is on one list from when it is to be watched until a selection finds it readable; that is looked up by what was found, not by a search over the list after each selection. The iterator of its own is gone.

--- a/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/ReadTurns.java
@@ -61,26 +61,31 @@
         return waiting.isEmpty() ? List.of() : waiting.stream().map(ReadTurns::session).toList();
     }
 
-    /** The connections of one round; each that is taken is to be removed, as MINA does. */
-    Iterator<NioSession> round(Set<SelectionKey> selected) {
+    /**
+     * The connections of one round; each that is taken is to be removed, as MINA does.
+     *
+     * @param selected  those that the selection has found
+     * @param toRead    those that are to be read whether or not it has found them
+     */
+    Iterator<NioSession> round(Set<SelectionKey> selected, Set<SelectionKey> toRead) {
         round.values().forEach(Deque::clear);
         if (!waiting.isEmpty()) {
-            waiting.retainAll(selected);
-        }
-        for (var key : selected) {
-            if (!waiting.contains(key)) {
-                var place = rank.apply(session(key));
-                if (place == Rank.OPENED) {
-                    round.get(place).add(key);
-                } else {
-                    waiting.add(key);
-                }
-            }
+            waiting.removeIf(key -> !selected.contains(key) && !toRead.contains(key));
         }
+        selected.forEach(this::place);
+        toRead.stream().filter(key -> !selected.contains(key)).forEach(this::place);
         var others = waiting.iterator();
         var longestReady = others.hasNext() ? others.next() : null;
         others.forEachRemaining(key -> round.get(rank.apply(session(key))).add(key));
-        return new Round(selected, longestReady);
+        return new Round(selected, toRead, longestReady);
+    }
+
+    private void place(SelectionKey key) {
+        if (!waiting.contains(key) && rank.apply(session(key)) == Rank.OPENED) {
+            round.get(Rank.OPENED).add(key);
+        } else {
+            waiting.add(key);
+        }
     }
 
     private static NioSession session(SelectionKey key) {
@@ -89,14 +94,16 @@
 
     private final class Round implements Iterator<NioSession> {
         private final Set<SelectionKey> selected;
+        private final Set<SelectionKey> toRead;
         /** When the accepted ones' time is over; set as the first one has its turn. */
         private long until;
         /** The accepted one that has been ready for longest, until it has had its turn. */
         private SelectionKey longestReady;
         private SelectionKey current;
 
-        Round(Set<SelectionKey> selected, SelectionKey longestReady) {
+        Round(Set<SelectionKey> selected, Set<SelectionKey> toRead, SelectionKey longestReady) {
             this.selected = selected;
+            this.toRead = toRead;
             this.longestReady = longestReady;
         }
 
@@ -132,6 +139,7 @@
         @Override
         public void remove() {
             selected.remove(current);
+            toRead.remove(current);
             waiting.remove(current);
         }
     }
--- a/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
+++ b/net/src/main/java/org/apache/mina/transport/socket/nio/SocketProcessor.java
@@ -41,7 +41,7 @@
     private static final AttributeKey EXPECTS_SILENCE = new AttributeKey(SocketProcessor.class, "silence");
     private static final int END_OF_INPUT = -1;
 
-    /** A connection that has said nothing for so long since it came up is watched anew, in milliseconds. */
+    /** A connection that no selection has found for so long is watched anew, in milliseconds. */
     private static final long WATCHED_ANEW_MS = 20;
     /** Each time after twice as long; the last time after 1.3 s. */
     private static final int MOST_WATCHED_ANEW = 7;
@@ -55,19 +55,20 @@
     private final Queue<NioSession> toResume = new ConcurrentLinkedQueue<>();
     /** Connections of which more may be there than was read; for the one thread that reads. */
     private final Set<NioSession> notReadToTheEnd = new HashSet<>();
-    /** Connections that have said nothing since they are watched; for the one thread that reads. */
-    private final Map<NioSession, Unheard> unheard = new LinkedHashMap<>();
-    /** Those that are watched again, and that no selection has found since: maybe the system doesn't. */
-    private final Set<NioSession> unproven = new HashSet<>();
-    /** Connections that are read in the next round, whatever the selection finds. */
-    private final Set<NioSession> toRead = new LinkedHashSet<>();
+    /**
+     * Connections that no selection has found since they are to be watched: maybe the system does not watch
+     * them. For the one thread that reads.
+     */
+    private final Map<NioSession, Unproven> unproven = new LinkedHashMap<>();
+    /** Connections that are read whether or not a selection finds them; for the one thread that reads. */
+    private final Set<SelectionKey> toRead = new LinkedHashSet<>();
     private final AtomicBoolean woken = new AtomicBoolean();
     private final ReadTurns turns = new ReadTurns(System::nanoTime, SocketProcessor::rank);
     /** When the last selection was over, in nanoseconds: what had come by then and is not read is known. */
     private volatile long selectedAt = System.nanoTime();
 
-    /** Since when a connection is watched, in nanoseconds, and how often it was watched anew. */
-    private record Unheard(long since, int times) {
+    /** Since when a connection is to be watched, in nanoseconds, and how often it was watched anew. */
+    private record Unproven(long since, int times) {
         boolean isDue(long now) {
             return now - since >= TimeUnit.MILLISECONDS.toNanos(WATCHED_ANEW_MS << times);
         }
@@ -144,16 +145,21 @@
     /** The system may fail to, and does not say so: what has come meanwhile is read in any case. */
     private void watchAgain(NioSession session) {
         session.resumeRead();
-        unheard.put(session, new Unheard(System.nanoTime(), 0));
-        unproven.add(session);
-        toRead.add(session);
+        unproven.put(session, new Unproven(System.nanoTime(), 0));
+        readSoon(session);
     }
 
     @Override
     protected void init(NioSession session) throws Exception {
         super.init(session);
         session.setAttribute(PROCESSOR, this);
-        unheard.put(session, new Unheard(System.nanoTime(), 0));
+        unproven.put(session, new Unproven(System.nanoTime(), 0));
+    }
+
+    private void readSoon(NioSession session) {
+        if (!isOver(session)) {
+            toRead.add(session.getSelectionKey());
+        }
     }
 
     /**
@@ -168,14 +174,13 @@
             int found = watchAnew();
             long left = Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime()));
             // To watch a connection anew takes a selection of its own, which a wake-up may have ended.
-            boolean hasWork = found > 0 || woken.get() || turns.hasWaiting()
-                    || !toRead.isEmpty();
+            boolean hasWork = found > 0 || woken.get() || turns.hasWaiting() || !toRead.isEmpty();
             long wait = Math.min(left, hasWork ? 1 : FaultySelector.LONGEST_WAIT_MS);
             turns.waiting().forEach(this::leftUnread);
             var watched = watchedOf(notReadToTheEnd);
             found += FaultySelector.select(() -> super.select(wait), super::selectedSessions);
             selectedAt = System.nanoTime();
-            unproven.removeIf(each -> isOver(each) || isSelected(each));
+            forgetProven();
             watched.forEach(this::forgetIfReadToTheEnd);
             found += turns.hasWaiting() || !toRead.isEmpty() ? 1 : 0;
             boolean wasWoken = woken.getAndSet(false);
@@ -187,36 +192,29 @@
 
     @Override
     protected Iterator<NioSession> selectedSessions() {
-        var others = turns.round(selector.selectedKeys());
-        toRead.removeIf(each -> isOver(each) || isSelected(each));
-        return new Iterator<>() {
-            private boolean takesOthers;
-
-            @Override
-            public boolean hasNext() {
-                return !toRead.isEmpty() || others.hasNext();
-            }
-
-            @Override
-            public NioSession next() {
-                takesOthers = toRead.isEmpty();
-                return takesOthers ? others.next() : toRead.iterator().next();
-            }
-
-            @Override
-            public void remove() {
-                if (takesOthers) {
-                    others.remove();
-                } else {
-                    toRead.remove(toRead.iterator().next());
-                }
-            }
-        };
+        toRead.removeIf(key -> !key.isValid());
+        return turns.round(selector.selectedKeys(), toRead);
     }
 
     @Override
     protected boolean isReadable(NioSession session) {
-        return toRead.contains(session) || super.isReadable(session);
+        return super.isReadable(session) || !isOver(session) && toRead.contains(session.getSelectionKey());
+    }
+
+    /** What a selection has found to be readable, the system watches. */
+    private void forgetProven() {
+        if (!unproven.isEmpty()) {
+            selector.selectedKeys().stream().filter(SocketProcessor::isFoundReadable)
+                    .forEach(key -> unproven.remove((NioSession) key.attachment()));
+        }
+    }
+
+    private static boolean isFoundReadable(SelectionKey key) {
+        try {
+            return key.isReadable();
+        } catch (CancelledKeyException e) {
+            return false;
+        }
     }
 
     private static boolean isOver(NioSession session) {
@@ -249,20 +247,15 @@
     private int watchAnew() {
         var due = new ArrayList<SelectionKey>();
         long now = System.nanoTime();
-        for (var each = unheard.entrySet().iterator(); each.hasNext();) {
+        for (var each = unproven.entrySet().iterator(); each.hasNext();) {
             var entry = each.next();
             var state = entry.getValue();
-            var key = entry.getKey().getSelectionKey();
-            boolean over = key == null || !key.isValid() || state.times() == MOST_WATCHED_ANEW;
-            boolean proven = entry.getKey().getReadBytes() > 0 && !unproven.contains(entry.getKey());
-            if (over || proven || selector.selectedKeys().contains(key)) {
+            if (isOver(entry.getKey()) || state.times() == MOST_WATCHED_ANEW) {
                 each.remove();
-                unproven.remove(entry.getKey());
             } else if (state.isDue(now)) {
-                entry.setValue(new Unheard(state.since(), state.times() + 1));
-                due.add(key);
-                unproven.add(entry.getKey());
-                toRead.add(entry.getKey());
+                entry.setValue(new Unproven(state.since(), state.times() + 1));
+                due.add(entry.getKey().getSelectionKey());
+                readSoon(entry.getKey());
             }
         }
         return due.isEmpty() ? 0 : watchAnew(due);
@@ -338,8 +331,8 @@
      * it only where the connection is surely watched; another one is read again.
      */
     private void forgetIfReadToTheEnd(NioSession session) {
-        if (!isOver(session) && unproven.contains(session)) {
-            toRead.add(session);
+        if (unproven.containsKey(session)) {
+            readSoon(session);
         } else if (isOver(session) || !isSelected(session)) {
             notReadToTheEnd.remove(session);
             session.removeAttribute(UNREAD_SINCE);
--- a/net/src/test/java/org/apache/mina/transport/socket/nio/ReadTurnsTest.java
+++ b/net/src/test/java/org/apache/mina/transport/socket/nio/ReadTurnsTest.java
@@ -26,6 +26,7 @@
     private final Map<NioSession, Rank> ranks = new HashMap<>();
     private final Map<NioSession, String> names = new HashMap<>();
     private final Set<SelectionKey> selected = new LinkedHashSet<>();
+    private final Set<SelectionKey> toRead = new LinkedHashSet<>();
     private final SocketAcceptor acceptor = new SocketAcceptor(new Transport().processor());
     private Selector selector;
     private long now;
@@ -54,10 +55,16 @@
         selected.add(channel.register(selector, 0, session));
     }
 
+    /** No selection has found those that are ready, and they are to be read all the same. */
+    private void notFound() {
+        toRead.addAll(selected);
+        selected.clear();
+    }
+
     /** The names of a round, where each connection takes so long to read, in nanoseconds. */
     private List<String> round(long each) {
         var taken = new ArrayList<String>();
-        for (var next = turns.round(selected); next.hasNext();) {
+        for (var next = turns.round(selected, toRead); next.hasNext();) {
             taken.add(names.get(next.next()));
             next.remove();
             now += each;
@@ -105,6 +112,20 @@
         assertEquals(List.of("known again"), round(ReadTurns.LONGEST_ROUND));
     }
 
+    /** Guards the others against many that are read though no selection has found them. */
+    @Test
+    void thoseThatNoSelectionHasFoundTakeTurnsLikeOthers() throws IOException {
+        for (int i = 0; i < 3; i++) {
+            ready("known-" + i, Rank.KNOWN);
+        }
+        ready("opened", Rank.OPENED);
+        notFound();
+        assertEquals(List.of("opened", "known-0", "known-1"), round(ReadTurns.LONGEST_ROUND / 2));
+        assertEquals(List.of("known-2"), namesOf(turns.waiting()));
+        assertEquals(List.of("known-2"), round(0));
+        assertTrue(toRead.isEmpty());
+    }
+
     @Test
     void whatIsNotReadyAnyMoreIsForgotten() throws IOException {
         ready("one", Rank.KNOWN);
