End clients that read slowly only until answers hold less than the second bound, and name each

Cause: once answers held twice their bound, clients were ended that had read nothing for however short, until answers were within the first bound: also such whose answer had just been written. Whether a client reads was looked at four times a second only, so that one that did could seem not to. And the log counted those who were ended without saying who they were.

Change: each client is judged on what all hold as its turn comes, and looked at right before; the judgement stands in UnwrittenAnswers.

--- a/net/src/main/java/ryemast/net/client/ClientConnection.java
+++ b/net/src/main/java/ryemast/net/client/ClientConnection.java
@@ -8,6 +8,7 @@
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.nio.SocketAccess;
+import ryemast.core.Clock;
 import ryemast.core.Note;
 import ryemast.core.Submission;
 import ryemast.core.Terminal;
@@ -31,6 +32,7 @@
 
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
     private static final double MICROS_PER_S = 1e6;
+    private static final int BYTES_PER_KB = 1024;
     /** How long the client's side stays open after a last answer, in microseconds: longer than ways are. */
     static final long ANSWER_TRAVELS = 200_000;
     /** How long a client may take to read some of what is written to it, in microseconds. */
@@ -378,12 +380,17 @@
 
     /** Guards the sockets against clients that do not read what is written to them. */
     void checkWriting() {
-        unwritten.look(session.getWrittenBytes(), server.loop.now());
+        lookWhetherRead();
         if (unreadFor() > LONGEST_WRITE) {
             session.closeNow();
         }
     }
 
+    /** Looks whether the client has read any of what waits for it since it was looked last. */
+    void lookWhetherRead() {
+        unwritten.look(session.getWrittenBytes(), server.loop.now());
+    }
+
     /** For how long the client has read none of the answers that wait for it, in microseconds. */
     long unreadFor() {
         return unwritten.stuckFor(server.loop.now());
@@ -392,6 +399,9 @@
     /** Ends the connection with the answers that its client does not read; how many bytes they held. */
     long endUnread() {
         long held = unwritten.bytes();
+        Note.info(LOG, "{peer}: it has read none of its answers for {unread_ms} ms, which hold {held_kb} KB;"
+                + " its connection ends, as all answers hold too much", "peer", session.getRemoteAddress(),
+                "unread_ms", unreadFor() / Clock.MICROS_PER_MS, "held_kb", held / BYTES_PER_KB);
         session.closeNow();
         ended();
         return held;
--- a/net/src/main/java/ryemast/net/client/ClientServer.java
+++ b/net/src/main/java/ryemast/net/client/ClientServer.java
@@ -47,8 +47,8 @@
     private static final AttributeKey PACE = new AttributeKey(ClientServer.class, "pace");
     private static final Logger LOG = Logger.getLogger(ClientServer.class.getName());
     /**
-     * For so long a client that sends none of the rest of its request, or reads none of its answers, keeps
-     * its connection where room is short, in microseconds: a crowd must not keep call-backs out for longer.
+     * For so long a request that is read in part keeps its connection where room is short, in microseconds;
+     * a crowd that never ends its requests must not keep call-backs out for longer.
      */
     private static final long UNDER_WAY = 500_000;
     /** So many unfinished requests are refused at once where memory is short. */
@@ -240,11 +240,11 @@
     /** Those that have read nothing for longest go first, until the others' answers are within the bound. */
     private void endLongestUnread() {
         endsUnread = false;
-        long least = unwritten.isFarOver() ? 0 : UNDER_WAY;
-        var unread = open.stream().filter(each -> each.unreadFor() > least)
-                .sorted(Comparator.comparingLong(ClientConnection::unreadFor).reversed()).toList();
+        var unread = new ArrayList<>(open);
+        unread.forEach(ClientConnection::lookWhetherRead);
+        unread.sort(Comparator.comparingLong(ClientConnection::unreadFor).reversed());
         for (var each : unread) {
-            if (!unwritten.isOver()) {
+            if (!unwritten.ends(each.unreadFor())) {
                 return;
             }
             counts.unread(each.endUnread());
--- a/net/src/main/java/ryemast/net/client/UnwrittenAnswers.java
+++ b/net/src/main/java/ryemast/net/client/UnwrittenAnswers.java
@@ -20,6 +20,8 @@
     static final class Budget {
         /** One part in so many of the memory for messages is for answers. */
         private static final int SHARE = 6;
+        /** A client that takes nothing in for longer may never do, in microseconds. */
+        private static final long LONGEST_STUCK = 500_000;
 
         private final MessageMemory memory;
         private final long most;
@@ -47,17 +49,14 @@
             return count == 0;
         }
 
-        /** By how many bytes the first bound is passed; none or fewer where it is kept. */
-        long over() {
-            return bytes - most;
-        }
-
+        /** Whether the first bound is passed. */
         boolean isOver() {
-            return over() > 0;
+            return bytes > most;
         }
 
-        boolean isFarOver() {
-            return over() > most;
+        /** Whether a client is to be ended that has taken nothing in for so long, in microseconds. */
+        boolean ends(long stuckFor) {
+            return isOver() && stuckFor > LONGEST_STUCK || bytes > 2 * most && stuckFor > 0;
         }
     }
 
--- a/net/src/test/java/ryemast/net/client/UnwrittenAnswersTest.java
+++ b/net/src/test/java/ryemast/net/client/UnwrittenAnswersTest.java
@@ -4,14 +4,16 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import org.junit.jupiter.api.Test;
 import ryemast.net.http.MessageMemory;
 
 class UnwrittenAnswersTest {
 
     private static final int ALL = 6_000_000;
-    /** What the answers of all connections may hold before clients are ended for it. */
-    private static final int FIRST_BOUND = 1_000_000;
+    /** For how long a client has taken nothing in, in microseconds. */
+    private static final long LONG = 600_000;
+    private static final long SHORT = 100_000;
     private static final int LARGE = 60_000;
 
     private final MessageMemory memory = new MessageMemory(ALL);
@@ -39,16 +41,31 @@
     @Test
     void whereAllHoldTooMuchOnlyThoseWhoHoldNothingGoOn() {
         var first = holding(1);
+        assertFalse(first.isFull());
         while (!budget.isOver()) {
             holding(1);
         }
         assertTrue(first.isFull());
         assertFalse(holding(0).isFull());
-        assertFalse(budget.isFarOver());
-        while (budget.over() <= FIRST_BOUND) {
+    }
+
+    /** Guards clients that read slowly: they are ended only where nothing else keeps the memory. */
+    @Test
+    void thoseThatAreStuckForLongAreEndedFirstAndOthersOnlyBeyondTheSecondBound() {
+        assertFalse(budget.ends(LONG));
+        while (!budget.isOver()) {
             holding(1);
         }
-        assertTrue(budget.isFarOver());
+        assertTrue(budget.ends(LONG));
+        assertFalse(budget.ends(SHORT));
+        var more = new ArrayList<UnwrittenAnswers>();
+        while (!budget.ends(SHORT)) {
+            more.add(holding(1));
+        }
+        assertFalse(budget.ends(0));
+        more.get(0).clear();
+        assertFalse(budget.ends(SHORT));
+        assertTrue(budget.ends(LONG));
     }
 
     @Test
