Give the tests' clients with a network's buffers, and heads of many fields, one place each

Cause: connections of clients that read nothing, with the sizes of their buffers, stood in UnreadAnswersIT and in the soak, and the heads of many fields in CrowdMemoryIT and UnfinishedAnswersIT.

Change: NetworkBuffers, and CrowdMemoryIT's heads used by both. Sizes, texts and checks are as before.

--- a/app/src/test/java/ryemast/it/CrowdMemoryIT.java
+++ b/app/src/test/java/ryemast/it/CrowdMemoryIT.java
@@ -20,8 +20,8 @@
 
     private static final int CLIENTS = 600;
     private static final long CROWD_MS = 8_000;
-    private static final int LARGEST_BODY = 64 * 1024;
-    private static final int LARGEST_HEAD = 16 * 1024;
+    static final int LARGEST_BODY = 64 * 1024;
+    static final int LARGEST_HEAD = 16 * 1024;
     /** Clients that write slowly do so in parts of such a size. */
     private static final int PART = 2_500;
     /** Longer than the program waits for the rest of a request. */
@@ -46,7 +46,7 @@
     }
 
     /** As many distinct fields as a head holds. */
-    private static String shortFields(int length) {
+    static String shortFields(int length) {
         var text = new StringBuilder();
         for (int i = 0; text.length() < length; i++) {
             text.append(Integer.toString(i + 36 * 36, 36)).append(":\n");
--- a/app/src/test/java/ryemast/it/Platform.java
+++ b/app/src/test/java/ryemast/it/Platform.java
@@ -5,6 +5,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.file.Files;
@@ -298,8 +299,8 @@
     }
 
     /** Where the program listens. */
-    int port() {
-        return packaged.address().getPort();
+    InetSocketAddress address() {
+        return packaged.address();
     }
 
     /** A client's connection for those who write and read bytes by themselves. */
--- a/app/src/test/java/ryemast/it/SoakHostileClients.java
+++ b/app/src/test/java/ryemast/it/SoakHostileClients.java
@@ -1,7 +1,6 @@
 package ryemast.it;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -38,9 +37,6 @@
     private static final int BATCH = 200;
     private static final int HELD_MS = 700;
     private static final int PAUSE_MS = 5;
-    /** What the kernel takes in where segments have the size of a network's, not that of loopback. */
-    private static final int SEND_BUFFER = 23_040;
-    private static final int RECEIVE_BUFFER = 4_096;
     private static final long APART = 0x5EEDL << 32;
 
     private final SoakClient.Shared shared;
@@ -57,7 +53,7 @@
         // Where the descriptors are few, a crowd of idle clients is there already.
         kind = settings.crowd() > 0 ? Kind.NONE : Kind.values()[random.nextInt(Kind.values().length)];
         if (kind == Kind.UNREAD) {
-            faults.sendBuffer(SEND_BUFFER);
+            NetworkBuffers.limit(faults);
         }
         setDaemon(true);
     }
@@ -176,10 +172,7 @@
     }
 
     private Socket connect() throws IOException {
-        var socket = new Socket();
-        socket.setReceiveBufferSize(RECEIVE_BUFFER);
-        socket.setTcpNoDelay(true);
-        socket.connect(new InetSocketAddress("127.0.0.1", shared.address.get().getPort()));
+        var socket = NetworkBuffers.connect(shared.address.get());
         open.add(socket);
         return socket;
     }
--- a/app/src/test/java/ryemast/it/UnfinishedAnswersIT.java
+++ b/app/src/test/java/ryemast/it/UnfinishedAnswersIT.java
@@ -13,8 +13,6 @@
 class UnfinishedAnswersIT {
 
     private static final String SPOILT_PREFIX = "spoilt-";
-    private static final int LARGEST_BODY = 64 * 1024;
-    private static final int LARGEST_HEAD = 16 * 1024;
     private static final int JOBS = 250;
     private static final int ROUNDS = 3;
     /** The workers' queues for new connections are short. */
@@ -30,20 +28,12 @@
         }
     }
 
-    /** As many distinct fields as a head holds. */
-    private static String shortFields() {
-        var text = new StringBuilder();
-        for (int i = 0; text.length() < LARGEST_HEAD - 200; i++) {
-            text.append(Integer.toString(i + 36 * 36, 36)).append(":\n");
-        }
-        return text.toString();
-    }
-
     static Stream<Answer> answers() {
-        var begin = "HTTP/1.1 202 Accepted\r\n";
-        return Stream.of(new Answer("a head of many fields", begin + shortFields()),
-                new Answer("a head of many fields and a body", begin + shortFields() + "Content-Length: "
-                        + LARGEST_BODY + "\r\n\r\n" + "x".repeat(LARGEST_BODY - 1)));
+        var head = "HTTP/1.1 202 Accepted\r\n" + CrowdMemoryIT.shortFields(CrowdMemoryIT.LARGEST_HEAD - 200);
+        return Stream.of(new Answer("a head of many fields", head),
+                new Answer("a head of many fields and a body", head + "Content-Length: "
+                        + CrowdMemoryIT.LARGEST_BODY + "\r\n\r\n"
+                        + "x".repeat(CrowdMemoryIT.LARGEST_BODY - 1)));
     }
 
     /** Guards the memory against what is kept of answers that are not whole. */
--- a/app/src/test/java/ryemast/it/UnreadAnswersIT.java
+++ b/app/src/test/java/ryemast/it/UnreadAnswersIT.java
@@ -1,7 +1,6 @@
 package ryemast.it;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Timeout;
@@ -19,9 +18,6 @@
     private static final int BURST = 20;
     private static final int BURST_PAUSE_MS = 60;
     private static final int HELD_MS = 2_000;
-    /** What the kernel takes in where segments have the size of a network's, not that of loopback. */
-    private static final int SEND_BUFFER = 23_040;
-    private static final int RECEIVE_BUFFER = 4_096;
 
     /** Guards the memory against answers that are kept as nobody reads them. */
     @ParameterizedTest
@@ -31,7 +27,7 @@
             if (oneCore) {
                 platform.limitToOneCore(0);
             }
-            faults.sendBuffer(SEND_BUFFER);
+            NetworkBuffers.limit(faults);
             ProbeClient.assertServedBeside(platform, () -> play(platform));
         }
     }
@@ -42,7 +38,7 @@
         for (int round = 0; round < ROUNDS && platform.program().isAlive(); round++) {
             for (int i = 0; i < CLIENTS; i++) {
                 if (clients[i] == null) {
-                    clients[i] = connect(platform);
+                    clients[i] = NetworkBuffers.connect(platform.address());
                 }
                 if (!send(clients[i], ProbeClient.LARGE_RESULT_PREFIX + round + "-" + i)) {
                     clients[i].close();
@@ -63,14 +59,6 @@
         return CLIENTS + " clients that read nothing, " + replaced + " connections ended";
     }
 
-    private static Socket connect(Platform platform) throws IOException {
-        var socket = new Socket();
-        socket.setReceiveBufferSize(RECEIVE_BUFFER);
-        socket.setTcpNoDelay(true);
-        socket.connect(new InetSocketAddress("127.0.0.1", platform.port()));
-        return socket;
-    }
-
     private static boolean send(Socket client, String txn) {
         try {
             var job = "POST /api/k HTTP/1.1\r\nX-Txn: " + txn + "\r\nX-Lane: load\r\nX-Org: acme\r\n"
