Keep a watch that the soak's new process opens early, and show a lost list by a test of its own

The log: the watch said nothing for 3.2 s from its first word on, with no trouble at discovery; the next call's list was written and its read failed (ETIMEDOUT), further calls failed, and the old list was used for 1.5 s.

SoakDiscovery.restarted, called once a new process was seen to serve, forgot all watches, also the one that the process had opened by then, which was told nothing from there on: the soak's fault. And the program takes a list that discovery has written, and that is lost with its connection, for one that was never told: the program's fault, under the open issue on service while discovery is not heard.

Change: watches are forgotten before the new process starts.

--- a/app/src/test/java/ryemast/it/FaultsIT.java
+++ b/app/src/test/java/ryemast/it/FaultsIT.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,6 +24,10 @@
     /** By so much a worker may be told more than is left to the client. */
     private static final int REMAINING_SLACK_MS = 150;
 
+    /** After it, nothing is sent any more to a worker that is notified to drain. */
+    private static final long DRAIN_GRACE_MS = 550;
+    private static final int JOBS_AFTER_A_LIST = 20;
+
     private static final int HOUR_S = 3_600;
     /** The network library slept for a second after a failed accept. */
     private static final long SOON_MS = 700;
@@ -171,6 +177,35 @@
         }
     }
 
+    /** What discovery has written counts as notified; here its read fails, and so do the calls after it. */
+    @Tag("known-red")
+    @Test
+    void aListThatWasWrittenAndLostWithItsConnectionCountsAsNotified() throws Exception {
+        try (var faults = new Faults(); var platform = Platform.with(faults);
+                var client = platform.client()) {
+            var writtenAt = new AtomicLong();
+            platform.discovery.script = (wire, message) -> {
+                if (writtenAt.compareAndSet(0, System.nanoTime())) {
+                    faults.fail(Faults.Call.PEER_READ, Faults.ETIMEDOUT, 1);
+                    wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    Platform.tell(wire, platform.listed("Terminating Ready"));
+                } else {
+                    wire.send("HTTP/1.1 503 Service Unavailable", "", "");
+                }
+            };
+            for (var wire : platform.discovery.wires) {
+                wire.close();
+            }
+            until(() -> writtenAt.get() != 0);
+            TimeUnit.NANOSECONDS.sleep(writtenAt.get() + TimeUnit.MILLISECONDS.toNanos(DRAIN_GRACE_MS)
+                    - System.nanoTime());
+            for (int i = 0; i < JOBS_AFTER_A_LIST; i++) {
+                served(platform, client, "load");
+            }
+            assertEquals(0, platform.one.count("POST"));
+        }
+    }
+
     /** The worker runs the job, and the answer that says so is lost on this side alone. */
     @Test
     void whereAnAnswerCouldNotBeReadTheWorkerIsAskedToDropTheJobBeforeItGoesOutAgain() throws Exception {
--- a/app/src/test/java/ryemast/it/SoakDiscovery.java
+++ b/app/src/test/java/ryemast/it/SoakDiscovery.java
@@ -188,9 +188,13 @@
         silentSince = Long.MAX_VALUE;
     }
 
-    /** Another process has started with the list that the former one had. */
-    synchronized void restarted() {
+    /** The former process is gone, and another one is about to start, with the list that it had. */
+    synchronized void restarts() {
         forgetWatches();
+    }
+
+    /** The new process serves. */
+    synchronized void restarted() {
         long earliest = System.nanoTime() + FIRST_LIST;
         drains.values().stream().filter(each -> !each.written)
                 .forEach(each -> each.notifiedAt = Math.max(each.notifiedAt, earliest));
--- a/app/src/test/java/ryemast/it/SoakIT.java
+++ b/app/src/test/java/ryemast/it/SoakIT.java
@@ -56,13 +56,6 @@
         play(1532);
     }
 
-    /** Discovery has written that a worker drains, and the read fails; so does the write of the next call. */
-    @Tag("known-red")
-    @Test
-    void aListThatWasLostWithItsConnectionCountsAsNotified() throws Exception {
-        play(1528);
-    }
-
     private static void play(long seed) throws Exception {
         try (var run = new SoakRun(seed)) {
             var breaches = new ArrayList<>(run.play());
--- a/app/src/test/java/ryemast/it/SoakRun.java
+++ b/app/src/test/java/ryemast/it/SoakRun.java
@@ -137,6 +137,7 @@
 
     private void start() throws Exception {
         int port = program.address() == null ? 0 : program.address().getPort();
+        discovery.restarts();
         process = program.start(config(port), faults.environment());
         until(() -> program.address() != null && isHealthy());
         discovery.restarted();
