--- a/review/standin-2/src/review2/Site.java
+++ b/review/standin-2/src/review2/Site.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntSupplier;
 import ryemast.drmaa.Contact;
 import ryemast.drmaa.DrmaaException;
 import ryemast.drmaa.Remote;
@@ -228,6 +229,18 @@
         return process;
     }
 
+    /** Starts another program of the project's, whose output goes into the record. */
+    Process start(String name, List<String> command) throws IOException {
+        var process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        processes.add(process);
+        note("started " + name + ", process " + process.pid());
+        var reader = new Thread(() -> process.inputReader().lines().forEach(
+                line -> note("log of " + name + ": " + line)));
+        reader.setDaemon(true);
+        reader.start();
+        return process;
+    }
+
     /** Sends a signal by its name, such as KILL, to a process of this case. */
     void signal(Process process, String name) throws Exception {
         note("signal " + name + " to process " + process.pid());
@@ -329,6 +342,11 @@
 
     private static ServerSocket listen(Talk talk) throws IOException {
         var server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        accept(server, talk);
+        return server;
+    }
+
+    private static void accept(ServerSocket server, Talk talk) {
         background(() -> {
             while (!server.isClosed()) {
                 try {
@@ -346,7 +364,6 @@
                 }
             }
         });
-        return server;
     }
 
     /** What a worker does with a job. */
@@ -366,6 +383,9 @@
         return runs.stream().filter(each -> each.target.equals(target)).count();
     }
 
+    /** Where call-backs go; by default to the one dispatcher there is. */
+    volatile IntSupplier callBacks = () -> port;
+
     /** A worker: takes each job, tells that it has started, then how it has ended. */
     final class Worker {
         final String id;
@@ -378,6 +398,27 @@
             server = listen(this::serve);
         }
 
+        /** One whose connections come up only once it {@link #opens}: until then its queue is full. */
+        Worker(String id, List<Socket> fillers) throws IOException {
+            this.id = id;
+            server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+            while (fillers.size() < 16) {
+                var filler = new Socket();
+                try {
+                    filler.connect(server.getLocalSocketAddress(), 300);
+                    fillers.add(filler);
+                } catch (IOException e) {
+                    filler.close();
+                    return;
+                }
+            }
+            throw new IOException("the queue of connections does not fill");
+        }
+
+        void opens() {
+            accept(server, this::serve);
+        }
+
         String address() {
             return "127.0.0.1:" + server.getLocalPort();
         }
@@ -425,7 +466,7 @@
         private void tell(String txn, String what) throws InterruptedException {
             for (int i = 0; i < 10; i++) {
                 try {
-                    var answer = ask(port, "POST", "/v1/job-events", "Content-Type: application/json\r\n",
+                    var answer = ask(callBacks.getAsInt(), "POST", "/v1/job-events", "Content-Type: application/json\r\n",
                             "{\"id\":\"" + txn + "\",\"from\":\"" + id + "\"," + what + "}");
                     note(id + " tells of " + txn + ": " + what + "; answered " + answer.strip());
                     if (answer.startsWith("20")) {
