--- a/review/standin-2/src/review2/StaleHolder.java
+++ b/review/standin-2/src/review2/StaleHolder.java
@@ -43,9 +43,9 @@
     private boolean steps(boolean trouble) throws Exception {
         var fillers = new ArrayList<Socket>();
         site.workers.add(trouble ? site.new Worker("s-1", fillers) : site.new Worker("s-1"));
-        // A connection may take 1.5 s to come up on the pages' days; this site waits for 3 s.
+        // A connection may take 1.5 s to come up on the pages' days; this site waits for 2 s.
         site.settings(Site.smallSite("aspen-plains-sd").replace("\"connect_timeout\":250000",
-                "\"connect_timeout\":3000000"));
+                "\"connect_timeout\":2000000"));
         site.start("the agent", List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-jar", "lab/target/ryemast-lab.jar", "lab", "consul", "--port", Integer.toString(consul)));
         Site.until("the agent", () -> get("v1/kv/" + PREFIX + "?recurse") != null);
@@ -66,6 +66,7 @@
         site.callBacks = () -> ports.getOrDefault(holder(fire()), site.port);
         site.note("one fire of award-sticker is due at " + due);
         Site.until("the fire to be recorded as sent", () -> fire().contains("\"sent\""));
+        long sent = System.nanoTime();
         var holder = holder(fire());
         site.note("the record: " + fire());
         boolean stale = false;
@@ -78,7 +79,8 @@
             Site.until("another to record an end", 20, () -> fire().contains("\"unknown\""));
             site.note("the record: " + fire());
             long before = site.runsOf(TARGET);
-            Thread.sleep(300);
+            // Not before its connection has come up.
+            Thread.sleep(Math.max(100, 1_200 - (System.nanoTime() - sent) / 1_000_000));
             site.signal(programs.get(holder), "CONT");
             Thread.sleep(5_000);
             stale = site.runsOf(TARGET) > before;
