--- a/review/standin-2/src/review2/ForeignJob.java
+++ b/review/standin-2/src/review2/ForeignJob.java
@@ -51,7 +51,10 @@
             boolean foreign = toAlice != null && toAlice.text().contains("bob");
             boolean got = toBob != null && toBob.text().contains("bob");
             site.note("alice was given bob's result: " + foreign + "; bob has got his: " + got);
-            return !foreign && got;
+            if (!foreign && !got) {
+                throw new AssertionError("bob's result came to nobody in time");
+            }
+            return !foreign;
         }
     }
 
